--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings defines the settings of a node.
+package settings
--- /dev/null
+++ b/pkg/instance/doc.go
@@ -0,0 +1,2 @@
+// Package instance identifies the nodes of a mesh.
+package instance
--- /dev/null
+++ b/pkg/message/codec.go
@@ -0,0 +1,72 @@
+package message
+
+import (
+	"fmt"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Limits on what a peer can make a decoder allocate.
+const (
+	maxArrayElements = 1 << 17
+	maxMapPairs      = 1 << 10
+	maxNestedLevels  = 16
+)
+
+var (
+	encoder = mustEncoder()
+	decoder = mustDecoder()
+)
+
+// Encode returns the CBOR form of v, or a *CodecError.
+func Encode[T any](v T) ([]byte, error) {
+	data, err := encoder.Marshal(v)
+	if err != nil {
+		return nil, &CodecError{kind: fmt.Sprintf("%T", v), cause: err}
+	}
+	return data, nil
+}
+
+// Decode returns the value that data holds in CBOR form. It returns a
+// *CodecError if data holds anything else, or more than one value.
+func Decode[T any](data []byte) (T, error) {
+	var v T
+	if err := decoder.Unmarshal(data, &v); err != nil {
+		return v, &CodecError{kind: fmt.Sprintf("%T", v), cause: err}
+	}
+	return v, nil
+}
+
+// CodecError reports a message that can't be encoded or decoded.
+type CodecError struct {
+	kind  string
+	cause error
+}
+
+// Error names the type of the message and the fault.
+func (e *CodecError) Error() string { return fmt.Sprintf("message %s: %v", e.kind, e.cause) }
+
+// Unwrap returns the error of the CBOR codec.
+func (e *CodecError) Unwrap() error { return e.cause }
+
+func mustEncoder() cbor.EncMode {
+	mode, err := cbor.CoreDetEncOptions().EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+func mustDecoder() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
+		IndefLength:      cbor.IndefLengthForbidden,
+		MaxArrayElements: maxArrayElements,
+		MaxMapPairs:      maxMapPairs,
+		MaxNestedLevels:  maxNestedLevels,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
--- /dev/null
+++ b/pkg/outcome/doc.go
@@ -0,0 +1,2 @@
+// Package outcome defines how a call can end.
+package outcome
--- /dev/null
+++ b/pkg/priority/doc.go
@@ -0,0 +1,2 @@
+// Package priority orders requests for admission.
+package priority
