--- /dev/null
+++ b/pkg/admission/doc.go
@@ -0,0 +1,2 @@
+// Package admission decides which priorities a server admits.
+package admission
--- /dev/null
+++ b/pkg/quarantine/doc.go
@@ -0,0 +1,3 @@
+// Package quarantine keeps requests that may crash backend servers from doing
+// so again and again.
+package quarantine
--- /dev/null
+++ b/pkg/queue/doc.go
@@ -0,0 +1,2 @@
+// Package queue keeps calls in order of priority while they wait.
+package queue
