--- a/pkg/acceptor/acceptor.go
+++ b/pkg/acceptor/acceptor.go
@@ -25,25 +25,26 @@
 // its Remaining and KeyAge up to date when the call runs. It is not safe for
 // concurrent use.
 type Acceptor struct {
-	self       instance.ID
-	service    string // empty without a backend server
-	draining   bool
-	guard      Guard
-	quarantine *quarantine.Quarantine
-	limiter    *limiter.Limiter
-	admission  *admission.Controller
-	entries    entries
-	queue      *queue.Queue[*entry] // admitted, waiting for their turn
-	suspects   *queue.Queue[*entry] // waiting to run alone
-	blocked    *queue.Queue[*entry] // waiting for the run of the same key
-	running    *queue.Queue[*entry] // handed over
-	patience   time.Duration
-	isolation  isolation
-	casualties casualties
-	routes     routes
-	answers    answers
-	scratch    []*entry
-	counters   counters
+	self         instance.ID
+	service      string // empty without a backend server
+	draining     bool
+	guard        Guard
+	quarantine   *quarantine.Quarantine
+	limiter      *limiter.Limiter
+	admission    *admission.Controller
+	entries      entries
+	queue        *queue.Queue[*entry] // admitted, waiting for their turn
+	suspects     *queue.Queue[*entry] // waiting to run alone
+	blocked      *queue.Queue[*entry] // waiting for the run of the same key
+	running      *queue.Queue[*entry] // handed over
+	patience     time.Duration
+	lowerStarted time.Time // when a call below Critical was last started
+	isolation    isolation
+	casualties   casualties
+	routes       routes
+	answers      answers
+	scratch      []*entry
+	counters     counters
 }
 
 // New returns the acceptor of the node self, without a backend server.
--- a/pkg/acceptor/child.go
+++ b/pkg/acceptor/child.go
@@ -19,8 +19,7 @@
 	if e.children > 1 {
 		return out
 	}
-	e.paused = now
-	a.limiter.Pause(now)
+	a.limiter.Pause(now, now.Sub(e.resumed))
 	return a.dispatch(now, out)
 }
 
@@ -33,7 +32,7 @@
 	}
 	e.children--
 	if e.children == 0 {
-		e.waited += now.Sub(e.paused)
+		e.resumed = now
 		a.limiter.Resume(now)
 	}
 }
--- a/pkg/acceptor/entry.go
+++ b/pkg/acceptor/entry.go
@@ -28,23 +28,12 @@
 	arrived  time.Time
 	deadline time.Time
 	started  time.Time
-	paused   time.Time     // since when it has waited for other services
-	waited   time.Duration // time spent waiting for other services before paused
-	children int           // child calls in flight
-	route    uint32        // place of its run times
-	guarded  bool          // the guard allowed the run and expects Finish
-	alone    bool          // it runs as a suspect
-	older    *entry        // an earlier attempt of the same call, or the next free entry
-}
-
-// own returns the time of the run until now that was not spent waiting for
-// other services.
-func (e *entry) own(now time.Time) time.Duration {
-	own := now.Sub(e.started) - e.waited
-	if e.children > 0 {
-		own -= now.Sub(e.paused)
-	}
-	return own
+	resumed  time.Time // since when it has not waited for other services
+	children int       // child calls in flight
+	route    uint32    // place of its run times
+	guarded  bool      // the guard allowed the run and expects Finish
+	alone    bool      // it runs as a suspect
+	older    *entry    // an earlier attempt of the same call, or the next free entry
 }
 
 func (e *entry) request() quarantine.Request {
--- a/pkg/acceptor/offer.go
+++ b/pkg/acceptor/offer.go
@@ -15,6 +15,9 @@
 // slots needs it to take up a burst.
 const minQueue = 8
 
+// criticalQueue is how many times longer a queue of Critical calls may be.
+const criticalQueue = 4
+
 // Offer decides about a call that the node from offers. It appends a Run, an
 // Answer, or nothing if the call waits. A repeated offer of the same attempt
 // is ignored.
@@ -31,10 +34,14 @@
 		return a.refuse(now, e, reason, out)
 	}
 	a.admission.Arrive(o.Priority)
-	if a.quarantine.Check(now, e.request()) == quarantine.Alone {
+	switch a.quarantine.Check(now, e.request()) {
+	case quarantine.Refuse:
+		return a.refuse(now, e, outcome.Suspect, out)
+	case quarantine.Alone:
 		return a.hold(now, e, out)
+	default:
+		return a.admit(now, e, out)
 	}
-	return a.admit(now, e, out)
 }
 
 // precluded returns why a call can't be run whatever the load, or None.
@@ -44,8 +51,6 @@
 		return outcome.Unavailable
 	case a.draining:
 		return outcome.Draining
-	case a.quarantine.Check(now, e.request()) == quarantine.Refuse:
-		return outcome.Suspect
 	case !e.offer.Repeatable && a.guard == nil:
 		return outcome.NoLease
 	case e.offer.Remaining <= a.routes.expected(now, e.route):
@@ -62,7 +67,7 @@
 		out, _ = a.start(now, e, out)
 		return out
 	}
-	if e.offer.Priority < a.admission.Threshold() && !a.outranksRunning(e) {
+	if e.offer.Priority < a.admission.Threshold() && !a.owedPlace(now, e) {
 		return a.refuse(now, e, outcome.Overload, out)
 	}
 	a.enqueue(now, e)
@@ -72,31 +77,48 @@
 // enqueue lets e wait for its turn.
 func (a *Acceptor) enqueue(now time.Time, e *entry) {
 	e.state = queued
-	latest := e.deadline.Add(-a.routes.expected(now, e.route))
+	latest := a.latest(now, e)
 	if e.offer.Priority.Level() < importance.Critical {
 		latest = earlier(latest, now.Add(a.patience))
 	}
 	e.handle = a.queue.Push(e.offer.Priority, latest, e)
 }
 
+// latest returns when e has to start to meet its deadline.
+func (a *Acceptor) latest(now time.Time, e *entry) time.Time {
+	return e.deadline.Add(-a.routes.expected(now, e.route))
+}
+
 // shorten makes room in a queue that is too long. Lower running work gives way
 // to a Critical call; otherwise the call of the lowest priority is evicted.
 func (a *Acceptor) shorten(now time.Time, out []action.Action) []action.Action {
-	for a.queue.Len() > a.queueLimit() {
-		lowest, _ := a.queue.Lowest()
+	for {
+		lowest, ok := a.queue.Lowest()
+		if !ok || a.queue.Len() <= a.queueLimit(lowest) {
+			return out
+		}
 		if victim := a.victim(lowest); victim != nil {
 			return a.preempt(now, victim, out)
 		}
+		if a.owedPlace(now, lowest) {
+			return out
+		}
 		a.queue.Remove(lowest.handle)
 		a.admission.Refuse()
 		out = a.refuse(now, lowest, outcome.Overload, out)
 	}
-	return out
 }
 
-// queueLimit returns how many calls may wait: as many as run at once, so that
-// a call waits for about one run time.
-func (a *Acceptor) queueLimit() int { return max(minQueue, a.limiter.Limit()) }
+// queueLimit returns how many calls may wait if e is the lowest of them: as
+// many as run at once, so that a call waits for about one run time. If only
+// Critical calls wait, their deadlines bound the wait.
+func (a *Acceptor) queueLimit(e *entry) int {
+	limit := max(minQueue, a.limiter.Limit())
+	if e.offer.Priority.Level() >= importance.Critical {
+		limit *= criticalQueue
+	}
+	return limit
+}
 
 // roomy reports whether a call may start without waiting.
 func (a *Acceptor) roomy() bool {
--- a/pkg/acceptor/preempt.go
+++ b/pkg/acceptor/preempt.go
@@ -8,9 +8,39 @@
 	"github.com/papayapath/papayapath/pkg/outcome"
 )
 
-// outranksRunning reports whether e is Critical and lower work runs, which
-// then gives way to it.
-func (a *Acceptor) outranksRunning(e *entry) bool { return a.victim(e) != nil }
+// urgency is the time before the latest start of a Critical call from which on
+// lower running work gives way to it. It covers two calls of Tick.
+const urgency = 100 * time.Millisecond
+
+// rescue makes room for Critical calls that would miss their deadline in the
+// queue while lower work runs.
+func (a *Acceptor) rescue(now time.Time, out []action.Action) []action.Action {
+	for {
+		e, ok := a.queue.Peek()
+		if !ok || a.latest(now, e).Sub(now) > urgency {
+			return out
+		}
+		victim := a.victim(e)
+		if victim == nil {
+			return out
+		}
+		a.queue.Remove(e.handle)
+		out = a.preempt(now, victim, out)
+		out, _ = a.start(now, e, out)
+	}
+}
+
+// inversion is how long after lower work was started a Critical call is not
+// refused for overload. It waits instead, at least until its deadline.
+const inversion = 100 * time.Millisecond
+
+// owedPlace reports whether e is Critical and lower work runs or ran of late.
+func (a *Acceptor) owedPlace(now time.Time, e *entry) bool {
+	if e.offer.Priority.Level() < importance.Critical {
+		return false
+	}
+	return now.Sub(a.lowerStarted) <= inversion || a.victim(e) != nil
+}
 
 // victim returns the running call that gives way to e, or nil. It is the
 // lowest repeatable one, since a retry makes good for it; only if there is
--- a/pkg/acceptor/run.go
+++ b/pkg/acceptor/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/action"
+	"github.com/papayapath/papayapath/pkg/importance"
 	"github.com/papayapath/papayapath/pkg/limiter"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
@@ -37,9 +38,12 @@
 			return out, false
 		}
 	}
-	e.state, e.started = running, now
+	e.state, e.started, e.resumed = running, now, now
 	e.handle = a.running.Push(o.Priority, e.deadline, e)
 	a.limiter.Begin(now)
+	if o.Priority.Level() < importance.Critical {
+		a.lowerStarted = now
+	}
 	a.counters.started++
 	return append(out, action.Action{Kind: action.Run, Offer: o}), true
 }
@@ -110,11 +114,11 @@
 // leave takes e out of the running calls.
 func (a *Acceptor) leave(now time.Time, e *entry, result limiter.Result) {
 	a.running.Remove(e.handle)
-	own := e.own(now)
 	if e.children > 0 {
-		a.limiter.Resume(now)
+		a.limiter.EndWaiting()
+	} else {
+		a.limiter.End(now, result, now.Sub(e.resumed))
 	}
-	a.limiter.End(now, result, own)
 	if e.alone {
 		a.isolation.end(now)
 	}
--- a/pkg/acceptor/tick.go
+++ b/pkg/acceptor/tick.go
@@ -17,7 +17,8 @@
 	out = a.expire(now, a.suspects, outcome.Suspect, out)
 	out = a.expire(now, a.blocked, outcome.InProgress, out)
 	out = a.unblock(now, "", out)
-	return a.dispatch(now, a.shorten(now, out))
+	out = a.shorten(now, a.rescue(now, out))
+	return a.dispatch(now, out)
 }
 
 // expireRuns ends the runs whose deadline has passed.
--- /dev/null
+++ b/pkg/quarantine/quarantine_test.go
@@ -0,0 +1,126 @@
+package quarantine_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/quarantine"
+)
+
+var (
+	start  = time.Unix(1_700_000_000, 0)
+	poison = quarantine.Request{Customer: "brest", Content: 1}
+	other  = quarantine.Request{Customer: "quimper", Content: 1}
+)
+
+// Guards against a request that crashes a fourth server.
+func TestRefusedAfterThreeCrashes(t *testing.T) {
+	q := quarantine.New()
+	require.Equal(t, quarantine.Clear, q.Check(start, poison))
+	q.Crash(start, []quarantine.Request{poison, other})
+	require.Equal(t, quarantine.Alone, q.Check(start, poison))
+	for range 2 {
+		q.Crash(start, []quarantine.Request{poison})
+	}
+	require.Equal(t, quarantine.Refuse, q.Check(start.Add(10*time.Minute-1), poison))
+	require.Equal(t, quarantine.Clear, q.Check(start.Add(10*time.Minute), poison))
+}
+
+// Guards against an innocent request that stays suspected, or is refused
+// because it was in flight at the crashes that others caused.
+func TestInnocentRequestsComeOutOfSuspicion(t *testing.T) {
+	q := quarantine.New()
+	for range 5 {
+		q.Crash(start, []quarantine.Request{poison, other})
+	}
+	require.Equal(t, quarantine.Alone, q.Check(start, other))
+	q.Complete(start, other)
+	require.Equal(t, quarantine.Clear, q.Check(start, other))
+}
+
+// Guards against frequent requests that run alone after each crash, and
+// against a faulty one that passes for innocent because it ran well before.
+func TestCompletedRequestIsSparedOnce(t *testing.T) {
+	q := quarantine.New()
+	q.Complete(start, other)
+	q.Crash(start, []quarantine.Request{poison, other})
+	require.Equal(t, quarantine.Alone, q.Check(start, poison))
+	require.Equal(t, quarantine.Clear, q.Check(start, other))
+	q.Crash(start, []quarantine.Request{poison, other})
+	require.Equal(t, quarantine.Alone, q.Check(start, other))
+}
+
+// gossip takes the changes of one node to another.
+func gossip(from, to *quarantine.Quarantine) {
+	for _, s := range from.Changes(start, nil) {
+		to.Merge(start, s)
+	}
+}
+
+// Guards against a suspect that crashes one server per node, and against a
+// clearance that does not spread or that an older message undoes.
+func TestSuspicionSpreadsAndEnds(t *testing.T) {
+	a, b := quarantine.New(), quarantine.New()
+	a.Crash(start, []quarantine.Request{poison, other})
+	stale := a.All(start, nil)
+	gossip(a, b)
+	require.Equal(t, quarantine.Alone, b.Check(start, poison))
+	b.Crash(start, []quarantine.Request{poison})
+	b.Crash(start, []quarantine.Request{poison})
+	b.Complete(start, other)
+	gossip(b, a)
+	require.Equal(t, quarantine.Refuse, a.Check(start, poison))
+	require.Equal(t, quarantine.Clear, a.Check(start, other))
+	for _, s := range stale {
+		a.Merge(start, s)
+	}
+	require.Equal(t, quarantine.Refuse, a.Check(start, poison))
+	require.Equal(t, quarantine.Clear, a.Check(start, other))
+	require.Empty(t, a.Changes(start, nil), "what came from others is not told again")
+}
+
+// Guards against a table that grows with the crashes, and against one that
+// forgets a refused request that keeps coming.
+func TestTableIsBounded(t *testing.T) {
+	q := quarantine.New(quarantine.WithSize(100))
+	for range 3 {
+		q.Crash(start, []quarantine.Request{poison})
+	}
+	for i := range 1000 {
+		q.Crash(start, []quarantine.Request{other, {Customer: fmt.Sprint(i)}})
+		q.Check(start, poison)
+	}
+	require.LessOrEqual(t, q.Len(start), 100)
+	require.LessOrEqual(t, len(q.Changes(start, nil)), 100)
+	require.Equal(t, quarantine.Refuse, q.Check(start, poison))
+}
+
+// Guards against a peer that keeps a request refused for longer than allowed.
+func TestMergeBoundsTheTime(t *testing.T) {
+	q := quarantine.New()
+	q.Merge(start, message.Suspicion{
+		Customer: poison.Customer, Content: poison.Content, Crashes: 9, Alone: 9, Revision: 9, Left: 100 * time.Hour,
+	})
+	require.Equal(t, quarantine.Refuse, q.Check(start, poison))
+	require.Equal(t, quarantine.Clear, q.Check(start.Add(10*time.Minute), poison))
+}
+
+func BenchmarkCheckComplete(b *testing.B) {
+	for _, size := range []int{0, 256, 4096} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			q := quarantine.New()
+			for i := range size {
+				q.Crash(start, []quarantine.Request{{Customer: "brest", Content: uint64(i)}})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				q.Check(start, other)
+				q.Complete(start, other)
+			}
+		})
+	}
+}
