Add the links between nodes and the HTTP adapters

Cause: calls need a way from callers to nodes, between nodes and to backend servers that keeps answers whole and can be canceled. Change: QUIC links with mutual TLS (internal/link, keys, authority), the HTTP gateway, the client of the own backend server, the exchange that checks length and digest of answers, and a span per hop. The HTTP library reports a chunked body that is cut off as whole; the client now looks at the end of the connection.

--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+
+	"github.com/papayapath/papayapath/internal/exchange"
+	"github.com/papayapath/papayapath/internal/socket"
+	"github.com/papayapath/papayapath/pkg/message"
+)
+
+// idleTimeout closes keep-alive connections that callers no longer use.
+const idleTimeout = 60 * time.Second
+
+// Calls is the node behind the gateway.
+type Calls interface {
+	// Call starts a call. cancel is to be called when its caller goes away.
+	Call(r *Request) (e *exchange.Exchange, cancel func())
+}
+
+// Gateway is an HTTP server for calls.
+type Gateway struct {
+	app      *fiber.App
+	calls    Calls
+	internal bool
+	address  net.Addr
+	tasks    conc.WaitGroup
+}
+
+// Option sets an optional part of a gateway.
+type Option func(*Gateway)
+
+// ForBackend makes the gateway serve the node's own backend server. Requests
+// may then name the call for which they are made.
+func ForBackend() Option { return func(g *Gateway) { g.internal = true } }
+
+// WithRoute adds a handler for a path of the gateway's own, which takes
+// precedence over a service of the same name.
+func WithRoute(method, path string, handler func(body []byte) (status int, answer any)) Option {
+	return func(g *Gateway) {
+		g.app.Add([]string{method}, path, func(c fiber.Ctx) error {
+			status, answer := handler(append([]byte(nil), c.Body()...))
+			return c.Status(status).JSON(answer)
+		})
+	}
+}
+
+// Listen serves HTTP on address until Close. It returns a *ListenError if the
+// address can't be used.
+func Listen(address string, calls Calls, options ...Option) (*Gateway, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{address: address, cause: err}
+	}
+	g := &Gateway{calls: calls, address: listener.Addr()}
+	g.app = fiber.New(fiber.Config{
+		BodyLimit:      message.MaxBody,
+		ReadBufferSize: message.MaxHeader,
+		IdleTimeout:    idleTimeout,
+		ErrorHandler:   fault,
+	})
+	for _, o := range options {
+		o(g)
+	}
+	g.app.Use(g.handle)
+	g.tasks.Go(func() {
+		_ = g.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
+	})
+	return g, nil
+}
+
+// Address returns the address on which the gateway listens.
+func (g *Gateway) Address() string { return g.address.String() }
+
+// Close stops accepting connections and waits until the requests in flight
+// have been answered, or until ctx ends.
+func (g *Gateway) Close(ctx context.Context) error {
+	err := g.app.ShutdownWithContext(ctx)
+	g.tasks.Wait()
+	return err
+}
+
+func (g *Gateway) handle(c fiber.Ctx) error {
+	r, err := read(c, g.internal)
+	if err != nil {
+		return err
+	}
+	e, cancel := g.calls.Call(r)
+	result, ok := await(c, e)
+	if !ok {
+		cancel()
+		result = <-e.Result()
+	}
+	return write(c, result)
+}
+
+// pollInterval is how often the connection of a waiting caller is checked.
+const pollInterval = 50 * time.Millisecond
+
+// await returns the result of e, or false if the caller has closed its
+// connection.
+func await(c fiber.Ctx, e *exchange.Exchange) (exchange.Result, bool) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case result := <-e.Result():
+			return result, true
+		case <-ticker.C:
+			if socket.IsClosed(c.RequestCtx().Conn()) {
+				return exchange.Result{}, false
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,215 @@
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/quic-go/quic-go"
+	"github.com/sourcegraph/conc"
+
+	"github.com/papayapath/papayapath/internal/reply"
+	"github.com/papayapath/papayapath/pkg/instance"
+	"github.com/papayapath/papayapath/pkg/message"
+)
+
+const (
+	// protocol is the ALPN name; a node of another protocol version fails in
+	// the handshake.
+	protocol = "papayapath/1"
+	// idleTimeout closes unused connections, so that a node holds none to the
+	// nodes that it called or probed long ago.
+	idleTimeout = 30 * time.Second
+	// dialTimeout bounds a handshake. It is well under a call's deadline, so
+	// that another server can be tried.
+	dialTimeout = 500 * time.Millisecond
+	// maxStreams bounds the calls that one node may have open on another.
+	maxStreams = 4096
+	// maxDatagram is the largest control message sent as a datagram; 1200
+	// bytes is the smallest MTU of QUIC, less room for headers.
+	maxDatagram = 1100
+	// resetCode ends a stream whose answer is no longer wanted.
+	resetCode quic.StreamErrorCode = 1
+)
+
+// Handler receives what other nodes send. Its methods are called from many
+// goroutines.
+type Handler interface {
+	// Offer runs a call and writes the answer to sink. ctx ends when the
+	// caller's node withdraws the call or its connection breaks.
+	Offer(ctx context.Context, from instance.ID, o *message.Offer, body []byte, sink reply.Sink)
+	// Control receives a control message.
+	Control(from instance.ID, m *message.Control)
+}
+
+// Link is a node's end of its connections to other nodes.
+//
+// Lock order: mu is held alone, never while a peer is waited for.
+type Link struct {
+	self      instance.ID
+	handler   Handler
+	tls       *tls.Config
+	config    *quic.Config
+	transport *quic.Transport
+	listener  *quic.Listener
+	ctx       context.Context
+	cancel    context.CancelFunc
+	tasks     conc.WaitGroup
+
+	mu    sync.Mutex
+	conns map[netip.AddrPort]*connection
+}
+
+// connection is a connection that is open or being opened. ready is closed
+// when conn or err is set.
+type connection struct {
+	ready chan struct{}
+	conn  *quic.Conn
+	err   error
+}
+
+// Open listens on the address of self and serves other nodes until Close.
+// config needs a certificate and the authority of the other nodes' ones. It
+// returns an *OpenError if the socket can't be opened.
+func Open(self instance.ID, config *tls.Config, handler Handler) (*Link, error) {
+	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(self.Address()))
+	if err != nil {
+		return nil, &OpenError{address: self.Address().String(), cause: err}
+	}
+	config = config.Clone()
+	config.NextProtos = []string{protocol}
+	ctx, cancel := context.WithCancel(context.Background())
+	l := &Link{
+		self: self, handler: handler, tls: config,
+		config: &quic.Config{
+			MaxIdleTimeout:     idleTimeout,
+			MaxIncomingStreams: maxStreams,
+			EnableDatagrams:    true,
+		},
+		transport: &quic.Transport{Conn: udp},
+		ctx:       ctx, cancel: cancel,
+		conns: make(map[netip.AddrPort]*connection),
+	}
+	l.listener, err = l.transport.Listen(config, l.config)
+	if err != nil {
+		cancel()
+		_ = udp.Close()
+		return nil, &OpenError{address: self.Address().String(), cause: err}
+	}
+	l.tasks.Go(l.accept)
+	return l, nil
+}
+
+// Close ends all connections and waits for the handlers.
+func (l *Link) Close() {
+	l.cancel()
+	_ = l.listener.Close()
+	l.mu.Lock()
+	for _, c := range l.conns {
+		if c.conn != nil {
+			_ = c.conn.CloseWithError(0, "closed")
+		}
+	}
+	l.mu.Unlock()
+	_ = l.transport.Close()
+	_ = l.transport.Conn.Close()
+	l.tasks.Wait()
+}
+
+// Drop closes the connection to the node at address, if there is one. It is
+// for a node that is known to have failed.
+func (l *Link) Drop(address netip.AddrPort) {
+	l.mu.Lock()
+	c := l.conns[address]
+	delete(l.conns, address)
+	l.mu.Unlock()
+	if c != nil && c.conn != nil {
+		_ = c.conn.CloseWithError(0, "dropped")
+	}
+}
+
+func (l *Link) accept() {
+	for {
+		conn, err := l.listener.Accept(l.ctx)
+		if err != nil {
+			return
+		}
+		address := remote(conn)
+		l.mu.Lock()
+		l.conns[address] = opened(conn)
+		l.mu.Unlock()
+		l.serve(conn, address)
+	}
+}
+
+func opened(conn *quic.Conn) *connection {
+	c := &connection{ready: make(chan struct{}), conn: conn}
+	close(c.ready)
+	return c
+}
+
+func remote(conn *quic.Conn) netip.AddrPort {
+	udp, ok := conn.RemoteAddr().(*net.UDPAddr)
+	if !ok {
+		return netip.AddrPort{}
+	}
+	address := udp.AddrPort()
+	return netip.AddrPortFrom(address.Addr().Unmap(), address.Port())
+}
+
+// connect returns the open connection to address, or dials one. Callers that
+// come at the same time share one handshake.
+func (l *Link) connect(ctx context.Context, address netip.AddrPort) (*quic.Conn, error) {
+	l.mu.Lock()
+	c := l.conns[address]
+	if c == nil {
+		c = &connection{ready: make(chan struct{})}
+		l.conns[address] = c
+		l.tasks.Go(func() { l.dial(c, address) })
+	}
+	l.mu.Unlock()
+	select {
+	case <-c.ready:
+		return c.conn, c.err
+	case <-ctx.Done():
+		return nil, context.Cause(ctx)
+	}
+}
+
+func (l *Link) dial(c *connection, address netip.AddrPort) {
+	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	defer cancel()
+	conn, err := l.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), l.tls, l.config)
+	l.mu.Lock()
+	c.conn, c.err = conn, err
+	if err != nil && l.conns[address] == c {
+		delete(l.conns, address)
+	}
+	l.mu.Unlock()
+	close(c.ready)
+	if err == nil {
+		l.serve(conn, address)
+	}
+}
+
+// serve handles what the node at address sends on conn until conn ends.
+func (l *Link) serve(conn *quic.Conn, address netip.AddrPort) {
+	l.tasks.Go(func() { l.serveCalls(conn, address) })
+	l.tasks.Go(func() { l.serveStreams(conn, address) })
+	l.tasks.Go(func() { l.serveDatagrams(conn, address) })
+	l.tasks.Go(func() {
+		<-conn.Context().Done()
+		l.forget(conn, address)
+	})
+}
+
+func (l *Link) forget(conn *quic.Conn, address netip.AddrPort) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.conns[address]; c != nil && c.conn == conn {
+		delete(l.conns, address)
+	}
+}
--- /dev/null
+++ b/internal/link/link_test.go
@@ -0,0 +1,168 @@
+package link_test
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/papayapath/papayapath/internal/authority"
+	"github.com/papayapath/papayapath/internal/keys"
+	"github.com/papayapath/papayapath/internal/link"
+	"github.com/papayapath/papayapath/internal/reply"
+	"github.com/papayapath/papayapath/pkg/instance"
+	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/outcome"
+)
+
+// handler answers calls with their own body.
+type handler struct {
+	hold     bool
+	canceled chan struct{}
+	control  chan instance.ID
+}
+
+func newHandler() *handler {
+	return &handler{canceled: make(chan struct{}), control: make(chan instance.ID, 1)}
+}
+
+func (h *handler) Offer(ctx context.Context, _ instance.ID, o *message.Offer, body []byte, sink reply.Sink) {
+	if h.hold {
+		<-ctx.Done()
+		close(h.canceled)
+		return
+	}
+	_ = sink.Head(&message.Head{Status: 200, Length: int64(len(body))})
+	for start := 0; start < len(body); start += message.ChunkSize {
+		_ = sink.Data(body[start:min(start+message.ChunkSize, len(body))])
+	}
+	_ = sink.Answer(&message.Answer{Call: o.Call, Outcome: outcome.Complete})
+}
+
+func (h *handler) Control(from instance.ID, _ *message.Control) { h.control <- from }
+
+// collector is a sink that keeps an answer.
+type collector struct {
+	mu     sync.Mutex
+	body   []byte
+	answer *message.Answer
+}
+
+func (c *collector) Head(*message.Head) error { return nil }
+
+func (c *collector) Data(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.body = append(c.body, p...)
+	return nil
+}
+
+func (c *collector) Answer(a *message.Answer) error {
+	c.answer = a
+	return nil
+}
+
+func open(t *testing.T, a *authority.Authority, port uint16, h link.Handler) (*link.Link, instance.ID) {
+	t.Helper()
+	now := time.Now()
+	certificate, err := a.Issue(now, "node")
+	require.NoError(t, err)
+	id := instance.New(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), 1)
+	l, err := link.Open(id, keys.New(certificate, a.Pool()).Config(), h)
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	return l, id
+}
+
+func newAuthority(t *testing.T) *authority.Authority {
+	t.Helper()
+	a, err := authority.New(time.Now())
+	require.NoError(t, err)
+	return a
+}
+
+// Guards against bodies that are cut or mixed up between concurrent calls.
+func TestOfferCarriesWholeBodies(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	a := newAuthority(t)
+	client, _ := open(t, a, 40101, newHandler())
+	server, to := open(t, a, 40102, newHandler())
+	defer client.Close()
+	defer server.Close()
+	var wait sync.WaitGroup
+	for i := range 32 {
+		wait.Go(func() {
+			body := make([]byte, 1+i*10_000)
+			for j := range body {
+				body[j] = byte(i)
+			}
+			var got collector
+			o := &message.Offer{Call: message.CallID{Seq: uint64(i)}}
+			require.NoError(t, client.Offer(t.Context(), to, o, body, &got))
+			require.Equal(t, body, got.body)
+			require.Equal(t, uint64(i), got.answer.Call.Seq)
+		})
+	}
+	wait.Wait()
+}
+
+// Guards against work that goes on after its caller has gone.
+func TestCanceledOfferCancelsTheCall(t *testing.T) {
+	a := newAuthority(t)
+	client, _ := open(t, a, 40103, newHandler())
+	h := newHandler()
+	h.hold = true
+	_, to := open(t, a, 40104, h)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	err := client.Offer(ctx, to, &message.Offer{}, nil, &collector{})
+	var want *link.SendError
+	require.ErrorAs(t, err, &want)
+	require.True(t, want.Sent())
+	select {
+	case <-h.canceled:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the call was not canceled")
+	}
+}
+
+// Guards against "in doubt" being reported for a node that never answered the
+// handshake, and against a false "not run".
+func TestOfferToAbsentNodeWasNotSent(t *testing.T) {
+	a := newAuthority(t)
+	client, _ := open(t, a, 40105, newHandler())
+	to := instance.New(netip.MustParseAddrPort("127.0.0.1:40199"), 1)
+	err := client.Offer(t.Context(), to, &message.Offer{}, nil, &collector{})
+	var want *link.SendError
+	require.ErrorAs(t, err, &want)
+	require.False(t, want.Sent())
+}
+
+// Guards against a stranger, whose certificate another authority signed,
+// being served.
+func TestStrangerIsRefused(t *testing.T) {
+	stranger, _ := open(t, newAuthority(t), 40106, newHandler())
+	h := newHandler()
+	_, to := open(t, newAuthority(t), 40107, h)
+	require.Error(t, stranger.Offer(t.Context(), to, &message.Offer{}, nil, &collector{}))
+	_ = stranger.Control(t.Context(), to, &message.Control{})
+	select {
+	case <-h.control:
+		t.Fatal("a stranger's message was delivered")
+	case <-time.After(100 * time.Millisecond):
+	}
+}
+
+// Guards against control messages without a true sender.
+func TestControlNamesItsSender(t *testing.T) {
+	a := newAuthority(t)
+	client, from := open(t, a, 40108, newHandler())
+	h := newHandler()
+	_, to := open(t, a, 40109, h)
+	require.NoError(t, client.Control(t.Context(), to, &message.Control{}))
+	require.Equal(t, from, <-h.control)
+}
--- /dev/null
+++ b/internal/socket/doc.go
@@ -0,0 +1,2 @@
+// Package socket looks at the state of network connections.
+package socket
--- /dev/null
+++ b/internal/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace records a span for each hop of a call.
+package trace
--- a/pkg/action/action.go
+++ b/pkg/action/action.go
@@ -33,4 +33,5 @@
 	Offer  *message.Offer
 	Answer *message.Answer
 	Cancel message.Cancel
+	Body   []byte // body of an Answer that comes from the ledger
 }
--- a/pkg/message/call.go
+++ b/pkg/message/call.go
@@ -1,7 +1,11 @@
 package message
 
 import (
+	"errors"
 	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/instance"
@@ -19,6 +23,38 @@
 // String returns the form node/seq, which backend servers forward.
 func (c CallID) String() string { return fmt.Sprintf("%s/%d", c.Node, c.Seq) }
 
+// ParseCallID returns the CallID with the given string form. It returns a
+// *CallIDError for any other string.
+func ParseCallID(text string) (CallID, error) {
+	node, seq, ok := strings.Cut(text, "/")
+	if !ok {
+		return CallID{}, &CallIDError{text: text}
+	}
+	address, incarnation, ok := strings.Cut(node, "#")
+	if !ok {
+		return CallID{}, &CallIDError{text: text}
+	}
+	a, errAddress := netip.ParseAddrPort(address)
+	i, errIncarnation := strconv.ParseUint(incarnation, 10, 64)
+	n, errSeq := strconv.ParseUint(seq, 10, 64)
+	if err := errors.Join(errAddress, errIncarnation, errSeq); err != nil {
+		return CallID{}, &CallIDError{text: text, cause: err}
+	}
+	return CallID{Node: instance.New(a, i), Seq: n}, nil
+}
+
+// CallIDError reports a string that is not the form of a CallID.
+type CallIDError struct {
+	text  string
+	cause error
+}
+
+// Error shows the string.
+func (e *CallIDError) Error() string { return fmt.Sprintf("call id %q is not node/seq", e.text) }
+
+// Unwrap returns the fault in one of the parts, if any.
+func (e *CallIDError) Unwrap() error { return e.cause }
+
 // Field is one HTTP header field.
 type Field struct {
 	_     struct{} `cbor:",toarray"`
@@ -34,6 +70,18 @@
 	Flags byte
 }
 
+// traceVersion is the version of the W3C trace context format.
+const traceVersion = "00"
+
+// String returns the value of the header field Traceparent, or an empty
+// string for the zero Trace.
+func (t Trace) String() string {
+	if t == (Trace{}) {
+		return ""
+	}
+	return fmt.Sprintf("%s-%x-%x-%02x", traceVersion, t.Trace, t.Span, t.Flags)
+}
+
 // Offer asks a node to run a call on its backend server. The body follows on
 // the same stream.
 type Offer struct {
--- /dev/null
+++ b/pkg/message/control.go
@@ -0,0 +1,4 @@
+package message
+
+// Control is a control message between nodes.
+type Control struct{}
