--- a/pkg/contract/contract.go
+++ b/pkg/contract/contract.go
@@ -82,6 +82,7 @@
 
 // Class is a kind of call that a contract allows.
 type Class struct {
+	name       string
 	service    string
 	method     string
 	prefix     string
@@ -99,6 +100,15 @@
 	}
 }
 
+// WithName returns c under a name, which operators use to speak of it.
+func (c Class) WithName(name string) Class {
+	c.name = name
+	return c
+}
+
+// Name returns the name of the class, or an empty string.
+func (c Class) Name() string { return c.name }
+
 // Service returns the name of the service that is called.
 func (c Class) Service() string { return c.service }
 
