--- /dev/null
+++ b/pkg/balancer/choose.go
@@ -0,0 +1,166 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/papayapath/papayapath/pkg/instance"
+	"github.com/papayapath/papayapath/pkg/priority"
+)
+
+const (
+	// probes bounds the random draws before all servers are looked at.
+	probes = 8
+	// trialShare is how many even shares of calls must pass before a server
+	// that loses each comparison is tried again.
+	trialShare = 8
+	// trialInterval is the shortest time between two such trials.
+	trialInterval = 250 * time.Millisecond
+	// equality is the largest ratio of two scores that count as equal. It
+	// covers the noise of the answer time.
+	equality = 1.125
+)
+
+// Verdict says why no server was chosen.
+type Verdict uint8
+
+// Verdicts of Choose and Admit.
+const (
+	// Chosen means that there is a server for the call.
+	Chosen Verdict = iota
+	// Refused means that every server would refuse the call for overload.
+	Refused
+	// Leaving means that the only server for the call is draining.
+	Leaving
+	// Absent means that no server of the service can be reached.
+	Absent
+)
+
+// Choose returns the better of two random servers for a call of priority p.
+// Servers in tried are left out. The caller reports the call with Start.
+//
+// A critical call that was tried nowhere yet is not refused on account of
+// thresholds.
+func (b *Balancer) Choose(now time.Time, p priority.Priority, tried []*Server) (*Server, Verdict) {
+	insist := critical(p) && len(tried) == 0
+	if !insist && b.refuses(now, p) {
+		return nil, Refused
+	}
+	first, second := b.draw(now, p, tried)
+	if first == nil {
+		first, second = b.scan(tried, func(s *Server) bool { return s.settled(now) && s.admits(now, p) })
+	}
+	if first == nil {
+		first, second = b.scan(tried, func(s *Server) bool { return s.admits(now, p) })
+	}
+	if first == nil && insist {
+		first, second = b.scan(tried, func(*Server) bool { return true })
+	}
+	if first == nil {
+		return nil, b.reject(now, tried)
+	}
+	return b.better(now, first, second), Chosen
+}
+
+// Admit decides on a call that only the server id may run.
+func (b *Balancer) Admit(now time.Time, id instance.ID, p priority.Priority) (*Server, Verdict) {
+	s, ok := b.Server(id)
+	switch {
+	case !ok:
+		return nil, Absent
+	case s.draining:
+		return s, Leaving
+	case s.suspected:
+		return s, Absent
+	case !critical(p) && !s.admits(now, p):
+		return s, Refused
+	}
+	return s, Chosen
+}
+
+// draw looks for two different usable servers by random draws. It gives up
+// after a few, and at once if a scan costs less.
+func (b *Balancer) draw(now time.Time, p priority.Priority, tried []*Server) (first, second *Server) {
+	if len(b.servers) <= probes {
+		return nil, nil
+	}
+	for range probes {
+		s := b.servers[b.random.IntN(len(b.servers))]
+		if s == first || !s.present() || !s.settled(now) || !s.admits(now, p) || contains(tried, s) {
+			continue
+		}
+		if first != nil {
+			return first, s
+		}
+		first = s
+	}
+	return first, nil
+}
+
+// scan draws two servers at random among all that take work and pass the test.
+func (b *Balancer) scan(tried []*Server, usable func(*Server) bool) (first, second *Server) {
+	seen := 0
+	for _, s := range b.servers {
+		if !s.present() || contains(tried, s) || !usable(s) {
+			continue
+		}
+		seen++
+		switch i := b.random.IntN(seen); {
+		case seen == 1:
+			first = s
+		case seen == 2:
+			second = s
+		case i == 0:
+			first = s
+		case i == 1:
+			second = s
+		}
+	}
+	return first, second
+}
+
+// reject tells apart that all servers refuse and that there are none.
+func (b *Balancer) reject(now time.Time, tried []*Server) Verdict {
+	if first, _ := b.scan(tried, func(*Server) bool { return true }); first == nil {
+		return Absent
+	}
+	b.keepFloor(now)
+	return Refused
+}
+
+func (b *Balancer) better(now time.Time, first, second *Server) *Server {
+	if second == nil {
+		return first
+	}
+	if b.trial(now, first) {
+		return first
+	}
+	if b.trial(now, second) {
+		return second
+	}
+	low, high := first, second
+	x, y := b.score(now, low), b.score(now, high)
+	if y < x {
+		low, high, x, y = high, low, y, x
+	}
+	if high.near && !low.near && y <= x*equality {
+		return high
+	}
+	return low
+}
+
+// trial reports whether a server that loses each comparison is due for a call,
+// by which its recovery is noticed.
+func (b *Balancer) trial(now time.Time, s *Server) bool {
+	return s.inFlight == 0 &&
+		now.Sub(s.picked) >= trialInterval &&
+		b.turns-s.turn >= trialShare*uint64(len(b.servers))
+}
+
+func contains(servers []*Server, s *Server) bool {
+	for _, t := range servers {
+		if t == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/balancer/doc.go
@@ -0,0 +1,2 @@
+// Package balancer chooses a server of a service for each call.
+package balancer
--- /dev/null
+++ b/pkg/balancer/score.go
@@ -0,0 +1,100 @@
+package balancer
+
+import "time"
+
+const (
+	// smoothing is the time constant of answer times.
+	smoothing = 300 * time.Millisecond
+	// failureMemory is the time in which a failure loses half of its weight.
+	failureMemory = time.Second
+	// startingTime stands in for an answer time while none is known.
+	startingTime = time.Millisecond
+	// windowTime is the length of one half of the window of fastest answers.
+	windowTime = 500 * time.Millisecond
+)
+
+// score rates a server: calls in flight times answer time, raised by recent
+// failures. A smaller score is better.
+func (b *Balancer) score(now time.Time, s *Server) float64 {
+	weight := 1 + s.recentFailures(now)
+	return float64(s.inFlight+1) * float64(b.expected(now, s)) * weight * weight
+}
+
+// Usual returns the recent answer time of a server, or of the service if the
+// server has given no answer yet, or 0 if neither is known.
+func (b *Balancer) Usual(s *Server) time.Duration {
+	if s.answer == 0 {
+		return b.mean
+	}
+	return s.answer
+}
+
+// expected returns the answer time to be expected of a server. A server that
+// has been silent for longer than its usual answer time, while calls wait for
+// it, counts as that slow.
+func (b *Balancer) expected(now time.Time, s *Server) time.Duration {
+	d := b.Usual(s)
+	if d == 0 {
+		d = startingTime
+	}
+	if s.inFlight > 0 {
+		d = max(d, now.Sub(s.progress))
+	}
+	return d
+}
+
+// recentFailures returns the decayed count of failures.
+func (s *Server) recentFailures(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	age := now.Sub(s.failed)
+	return s.failures * float64(failureMemory) / float64(failureMemory+max(age, 0))
+}
+
+// smooth moves old towards sample. The step grows with the time since the
+// last sample, so that rare samples count in full.
+func smooth(old, sample, since time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	step := float64(since) / float64(since+smoothing)
+	return old + time.Duration(step*float64(sample-old))
+}
+
+// window keeps the smallest of the samples of the last half second to second.
+type window struct {
+	current  time.Duration
+	previous time.Duration
+	start    time.Time
+}
+
+func (w *window) add(now time.Time, sample time.Duration) {
+	w.turn(now)
+	if w.current == 0 || sample < w.current {
+		w.current = sample
+	}
+}
+
+// least returns the smallest recent sample, or 0 if there is none.
+func (w *window) least(now time.Time) time.Duration {
+	w.turn(now)
+	if w.current == 0 || (w.previous != 0 && w.previous < w.current) {
+		return w.previous
+	}
+	return w.current
+}
+
+func (w *window) turn(now time.Time) {
+	age := now.Sub(w.start)
+	switch {
+	case age < windowTime:
+		return
+	case age < 2*windowTime:
+		w.previous = w.current
+	default:
+		w.previous = 0
+	}
+	w.current = 0
+	w.start = now
+}
--- /dev/null
+++ b/pkg/budget/doc.go
@@ -0,0 +1,2 @@
+// Package budget splits the retries of one request over its call tree.
+package budget
--- /dev/null
+++ b/pkg/quota/meter.go
@@ -0,0 +1,57 @@
+package quota
+
+import "time"
+
+const (
+	// weight is the part of a new interval in the smoothed demand. It halves
+	// the noise of a single interval and follows a step within two.
+	weight = 0.5
+	// shortest is the shortest time over which a rate is computed.
+	shortest = 100 * time.Millisecond
+)
+
+// meter measures the requests a second that arrive.
+type meter struct {
+	since    time.Time // start of the present interval
+	last     time.Time // last request
+	requests int       // requests in the present interval
+	smoothed float64
+	reported bool // a report was made since the node became active
+}
+
+func (m *meter) start(now time.Time) { m.since, m.last = now, now }
+
+func (m *meter) count(now time.Time) {
+	if m.requests == 0 && !m.reported {
+		m.since = now
+	}
+	m.requests++
+	m.last = now
+}
+
+// due reports whether it is time to report. The first report after an idle
+// time is due as soon as a rate can be computed.
+func (m *meter) due(now time.Time) bool {
+	age := now.Sub(m.since)
+	if !m.reported {
+		return m.requests > 0 && age >= shortest
+	}
+	return age >= Interval
+}
+
+// read ends the interval and returns the smoothed demand.
+func (m *meter) read(now time.Time) float64 {
+	measured := float64(m.requests) / now.Sub(m.since).Seconds()
+	if m.reported {
+		m.smoothed += weight * (measured - m.smoothed)
+	} else {
+		m.smoothed = measured
+	}
+	m.since = now
+	m.requests = 0
+	m.reported = now.Sub(m.last) < idle
+	if !m.reported {
+		m.smoothed = 0
+	}
+	return m.smoothed
+}
