Add the stand-in for the platform log

Cause: nodes need a platform log to be tried against, with its limits and its faults. Conclusion: usable by the platform client; an append above the limit is refused with 429 and has no effect.

--- /dev/null
+++ b/internal/lab/logserver/log.go
@@ -0,0 +1,151 @@
+package logserver
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Defaults of a log.
+const (
+	DefaultRate    = 300     // appends a second
+	DefaultCount   = 100_000 // records kept in each stream
+	DefaultAge     = time.Hour
+	firstEpoch     = 1
+	defaultRecords = 1000 // records in one answer, if the reader sets no limit
+)
+
+// Log is a stand-in for the platform log. Its methods may be called at any
+// time from any goroutine.
+type Log struct {
+	limiter *rate.Limiter
+	count   int
+	age     time.Duration
+
+	mu         sync.Mutex
+	generation uint64
+	streams    map[string]*stream
+	down       bool
+	delay      time.Duration
+	lose       int
+	appends    int
+}
+
+// Option changes a Log.
+type Option func(*Log)
+
+// New returns an empty log of generation 1.
+func New(options ...Option) *Log {
+	l := &Log{
+		limiter:    rate.NewLimiter(DefaultRate, DefaultRate),
+		count:      DefaultCount,
+		age:        DefaultAge,
+		generation: firstEpoch,
+		streams:    make(map[string]*stream),
+	}
+	for _, o := range options {
+		o(l)
+	}
+	return l
+}
+
+// WithRate sets the largest number of appends a second. An append above it is
+// refused with 429 and has no effect.
+func WithRate(appends int) Option {
+	return func(l *Log) { l.limiter = rate.NewLimiter(rate.Limit(appends), appends) }
+}
+
+// WithRetention sets how many records a stream keeps, and for how long.
+func WithRetention(count int, age time.Duration) Option {
+	return func(l *Log) { l.count, l.age = count, age }
+}
+
+// Appends returns the number of appends that took effect.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Set applies a change of behaviour.
+func (l *Log) Set(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if f.Down != nil {
+		l.down = *f.Down
+	}
+	if f.Delay != nil {
+		l.delay = time.Duration(*f.Delay) * time.Millisecond
+	}
+	if f.Lose != nil {
+		l.lose = *f.Lose
+	}
+	if f.Trim != nil {
+		l.stream(f.Trim.Stream).trim(f.Trim.First)
+	}
+	if f.Generation {
+		l.restart()
+	}
+}
+
+// restart begins a new generation. The caller holds l.mu.
+func (l *Log) restart() {
+	l.generation++
+	old := l.streams
+	l.streams = make(map[string]*stream)
+	for _, s := range old {
+		s.wake()
+	}
+}
+
+// stream returns the stream with a name. The caller holds l.mu.
+func (l *Log) stream(name string) *stream {
+	s := l.streams[name]
+	if s == nil {
+		s = newStream()
+		l.streams[name] = s
+	}
+	return s
+}
+
+// append adds a record and reports whether the answer is to be lost.
+func (l *Log) append(name, id string, data []byte, now time.Time) (generation, offset uint64, lost bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	offset = s.append(id, data, now)
+	s.retain(l.count, now.Add(-l.age))
+	l.appends++
+	if l.lose > 0 {
+		l.lose--
+		lost = true
+	}
+	return l.generation, offset, lost
+}
+
+// page is the answer to a read.
+type page struct {
+	Generation uint64   `json:"generation"`
+	First      uint64   `json:"first"`
+	End        uint64   `json:"end"`
+	Records    []record `json:"records"`
+}
+
+// read returns a page, and a channel that closes when the stream changes.
+func (l *Log) read(name string, from uint64, limit int, now time.Time) (page, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	s.retain(l.count, now.Add(-l.age))
+	return page{
+		Generation: l.generation, First: s.first, End: s.end(), Records: s.read(from, limit),
+	}, s.grown
+}
+
+// state returns whether the log is down and how late its answers are.
+func (l *Log) state() (down bool, delay time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.down, l.delay
+}
--- /dev/null
+++ b/internal/lab/logserver/serve.go
@@ -0,0 +1,138 @@
+package logserver
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+)
+
+const (
+	streamPrefix = "/streams/"
+	faultPath    = "/faults"
+	// maxWait bounds how long a read is held.
+	maxWait = 30 * time.Second
+)
+
+// Serve answers HTTP on listener until ctx ends.
+func (l *Log) Serve(ctx context.Context, listener *loopback.Listener) error {
+	return loopback.Serve(ctx, listener, func(r *fasthttp.RequestCtx) { l.handle(ctx, r) })
+}
+
+func (l *Log) handle(ctx context.Context, r *fasthttp.RequestCtx) {
+	path := string(r.Path())
+	name, isStream := strings.CutPrefix(path, streamPrefix)
+	switch {
+	case path == faultPath && r.IsPost():
+		l.handleFaults(r)
+	case isStream && name != "" && r.IsPost():
+		l.guard(ctx, r, func() bool { return l.handleAppend(r, name) })
+	case isStream && name != "" && r.IsGet():
+		l.guard(ctx, r, func() bool { return l.handleRead(ctx, r, name) })
+	default:
+		r.Error("unknown path", fasthttp.StatusNotFound)
+	}
+}
+
+// guard runs a request under the present faults. The connection is closed
+// without an answer if the log is down before or after the effect, or if
+// effect returns false.
+func (l *Log) guard(ctx context.Context, r *fasthttp.RequestCtx, effect func() bool) {
+	if !l.reachable(ctx) || !effect() || !l.reachable(ctx) {
+		loopback.Drop(r)
+	}
+}
+
+// reachable waits for half of the delay and reports whether the log is up.
+func (l *Log) reachable(ctx context.Context) bool {
+	_, delay := l.state()
+	if delay > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(delay / 2):
+		}
+	}
+	down, _ := l.state()
+	return !down && ctx.Err() == nil
+}
+
+func (l *Log) handleFaults(r *fasthttp.RequestCtx) {
+	var f Faults
+	if err := json.Unmarshal(r.PostBody(), &f); err != nil {
+		r.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	l.Set(f)
+	r.SetStatusCode(fasthttp.StatusNoContent)
+}
+
+// handleAppend reports whether the answer may be sent.
+func (l *Log) handleAppend(r *fasthttp.RequestCtx, name string) bool {
+	var request struct {
+		ID   string `json:"id"`
+		Data []byte `json:"data"`
+	}
+	if err := json.Unmarshal(r.PostBody(), &request); err != nil {
+		r.Error(err.Error(), fasthttp.StatusBadRequest)
+		return true
+	}
+	now := time.Now()
+	if !l.limiter.AllowN(now, 1) {
+		r.Error("too many appends a second", fasthttp.StatusTooManyRequests)
+		return true
+	}
+	generation, offset, lost := l.append(name, request.ID, request.Data, now)
+	answer(r, struct {
+		Generation uint64 `json:"generation"`
+		Offset     uint64 `json:"offset"`
+	}{generation, offset})
+	return !lost
+}
+
+// handleRead always lets the answer be sent.
+func (l *Log) handleRead(ctx context.Context, r *fasthttp.RequestCtx, name string) bool {
+	arguments := r.QueryArgs()
+	from := uint64(arguments.GetUintOrZero("from"))
+	limit := arguments.GetUintOrZero("max")
+	if limit == 0 {
+		limit = defaultRecords
+	}
+	wait := time.Duration(arguments.GetUintOrZero("wait")) * time.Millisecond
+	answer(r, l.await(ctx, name, from, limit, min(wait, maxWait)))
+	return true
+}
+
+// await reads a page, and holds it until it has a record or the generation
+// changes, for at most wait.
+func (l *Log) await(ctx context.Context, name string, from uint64, limit int, wait time.Duration) page {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	p, grown := l.read(name, from, limit, time.Now())
+	generation := p.Generation
+	for len(p.Records) == 0 && p.Generation == generation {
+		select {
+		case <-ctx.Done():
+			return p
+		case <-timer.C:
+			return p
+		case <-grown:
+			p, grown = l.read(name, from, limit, time.Now())
+		}
+	}
+	return p
+}
+
+// answer writes value as JSON.
+func answer(r *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		r.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	r.SetContentType("application/json")
+	r.SetBody(body)
+}
--- /dev/null
+++ b/internal/lab/loopback/listener.go
@@ -0,0 +1,93 @@
+package loopback
+
+import (
+	"fmt"
+	"net"
+	"sync"
+)
+
+// anyPort lets the operating system choose a free port.
+const anyPort = "127.0.0.1:0"
+
+// Listener accepts TCP connections on a loopback address and remembers them,
+// so that all of them can be cut at once.
+type Listener struct {
+	net.Listener
+
+	mu     sync.Mutex
+	conns  map[*conn]struct{}
+	closed bool
+}
+
+// Listen returns a listener on a free loopback port. It returns a
+// *ListenError on failure.
+func Listen() (*Listener, error) { return ListenAt(anyPort) }
+
+// ListenAt returns a listener on address. It returns a *ListenError on
+// failure.
+func ListenAt(address string) (*Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, &ListenError{address: address, cause: err}
+	}
+	return &Listener{Listener: l, conns: make(map[*conn]struct{})}, nil
+}
+
+// Address returns the address and port of the listener.
+func (l *Listener) Address() string { return l.Addr().String() }
+
+// Accept waits for the next connection.
+func (l *Listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	tracked := &conn{TCPConn: c.(*net.TCPConn), owner: l}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = c.Close()
+		return nil, net.ErrClosed
+	}
+	l.conns[tracked] = struct{}{}
+	return tracked, nil
+}
+
+// Cut closes the listener and every connection it has accepted.
+func (l *Listener) Cut() {
+	_ = l.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	for c := range l.conns {
+		_ = c.TCPConn.Close()
+	}
+	clear(l.conns)
+}
+
+// conn is a connection that tells its listener when it closes. It embeds the
+// TCP connection whole, so that SyscallConn stays available to handlers.
+type conn struct {
+	*net.TCPConn
+	owner *Listener
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.TCPConn.Close()
+}
+
+// ListenError reports an address that can't be listened on.
+type ListenError struct {
+	address string
+	cause   error
+}
+
+// Error names the address.
+func (e *ListenError) Error() string { return fmt.Sprintf("listen on %s: %v", e.address, e.cause) }
+
+// Unwrap returns the error of the operating system.
+func (e *ListenError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/internal/lab/loopback/serve.go
@@ -0,0 +1,66 @@
+package loopback
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+)
+
+const (
+	// maxBody is the largest request body in bytes.
+	maxBody = 8 << 20
+	// maxConns bounds the connections of one stand-in, so that a retry storm
+	// can't exhaust the file descriptors of the process.
+	maxConns = 8192
+	// idleWorker is how long fasthttp keeps an idle goroutine. Its cleaner
+	// wakes at this interval and only then notices that the server has stopped.
+	idleWorker = 100 * time.Millisecond
+)
+
+// Serve answers requests with handler until ctx ends. It then cuts all
+// connections and waits for the handlers, which must end with ctx.
+func Serve(ctx context.Context, listener *Listener, handler fasthttp.RequestHandler) error {
+	s := &fasthttp.Server{
+		Handler:               handler,
+		Concurrency:           maxConns,
+		MaxIdleWorkerDuration: idleWorker,
+		MaxRequestBodySize:    maxBody,
+		NoDefaultServerHeader: true,
+		NoDefaultDate:         true,
+		NoDefaultContentType:  true,
+		Logger:                silent{},
+	}
+	serving, stop := context.WithCancel(ctx)
+	var group conc.WaitGroup
+	group.Go(func() {
+		<-serving.Done()
+		listener.Cut()
+		_ = s.Shutdown()
+	})
+	err := s.Serve(listener)
+	stop()
+	group.Wait()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Drop closes the connection of a request without an answer.
+func Drop(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(closeConn)
+}
+
+// silent drops the messages of fasthttp about connections that were cut.
+type silent struct{}
+
+// Printf does nothing.
+func (silent) Printf(string, ...any) {}
+
+// closeConn does nothing, because fasthttp closes a connection when its
+// hijack handler returns.
+func closeConn(net.Conn) {}
