Add the stand-in for backend servers

Cause: nodes need backend servers to be tried against, and the checkers need to know what ran. Change: internal/lab/server has slots, seeded run times, cold starts, steps to further services through its node, announcements, drain, late or false reports, shedding, deadlines, cancellation, crashes, slowdown and pause. internal/lab/history counts runs by request and key; internal/lab/answer builds and verifies answers; internal/lab/caller makes calls that net/http does not silently send twice. Conclusion: usable behind a node; the tests cover each behaviour but the cold start.

--- /dev/null
+++ b/internal/lab/answer/answer.go
@@ -0,0 +1,64 @@
+package answer
+
+import (
+	"bytes"
+	"encoding/binary"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// hexadecimal is the base of a checksum in a header field.
+const hexadecimal = 16
+
+// Answer is the body of an answer and its checksum.
+type Answer struct {
+	body []byte
+}
+
+// New returns the answer of service to the request root, with a body of at
+// least size bytes. The filler differs between requests, so that a mixture of
+// two answers shows.
+func New(service, root string, size int) Answer {
+	head := title(service, root)
+	body := make([]byte, max(size, len(head)))
+	n := copy(body, head)
+	var filler [8]byte
+	binary.LittleEndian.PutUint64(filler[:], xxhash.Sum64String(root))
+	for n < len(body) {
+		n += copy(body[n:], filler[:])
+	}
+	return Answer{body: body}
+}
+
+// Body returns the body.
+func (a Answer) Body() []byte { return a.body }
+
+// Checksum returns the checksum as the header field gives it.
+func (a Answer) Checksum() string {
+	return strconv.FormatUint(xxhash.Sum64(a.body), hexadecimal)
+}
+
+// Verdict is what a client finds in an answer.
+type Verdict int
+
+// Verdicts on an answer.
+const (
+	Whole   Verdict = iota // the whole answer to the own request
+	Partial                // not what the server wrote, or part of it
+	Foreign                // whole, but the answer to another request
+)
+
+// Verify compares a body with its checksum and with the request.
+func Verify(service, root, checksum string, body []byte) Verdict {
+	if (Answer{body: body}).Checksum() != checksum {
+		return Partial
+	}
+	if !bytes.HasPrefix(body, title(service, root)) {
+		return Foreign
+	}
+	return Whole
+}
+
+// title returns the line with which a body begins.
+func title(service, root string) []byte { return []byte(service + " " + root + "\n") }
--- /dev/null
+++ b/internal/lab/caller/doc.go
@@ -0,0 +1,3 @@
+// Package caller makes HTTP calls that end with their context and are never
+// sent twice.
+package caller
--- /dev/null
+++ b/internal/lab/history/history.go
@@ -0,0 +1,136 @@
+package history
+
+import (
+	"sync"
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+	"github.com/papayapath/papayapath/pkg/importance"
+)
+
+// Run is one run of a call on a backend server.
+type Run struct {
+	wire.Identity
+	Service string
+	Start   time.Time
+	End     time.Time // zero while it runs
+}
+
+// Refusal is a call that was refused for overload.
+type Refusal struct {
+	Root    string
+	Service string
+	At      time.Time
+}
+
+// Request is a customer request as its client sees it.
+type Request struct {
+	Root       string
+	Service    string
+	Importance importance.Level
+	Arrived    time.Time
+	Finished   time.Time // when the whole answer was there; zero if it never was
+	Delay      time.Duration
+	Sends      int
+}
+
+// Claim is what a caller was told of one send of a request.
+type Claim struct {
+	Root    string
+	Attempt int
+	Service string
+	NotRun  bool
+}
+
+// History is a record of one experiment. Its methods may be called from any
+// goroutine.
+type History struct {
+	mu       sync.Mutex
+	runs     []Run
+	refusals []Refusal
+	requests []Request
+	claims   []Claim
+	verdicts map[answer.Verdict]int
+}
+
+// New returns an empty history.
+func New() *History { return &History{verdicts: make(map[answer.Verdict]int)} }
+
+// Start records that a run has started, and returns its number for End.
+func (h *History) Start(r Run) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runs = append(h.runs, r)
+	return len(h.runs) - 1
+}
+
+// End records that a run has ended.
+func (h *History) End(run int, at time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runs[run].End = at
+}
+
+// Refuse records a refusal for overload.
+func (h *History) Refuse(r Refusal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refusals = append(h.refusals, r)
+}
+
+// Finish records the fate of a customer request.
+func (h *History) Finish(r Request) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.requests = append(h.requests, r)
+}
+
+// Claim records what a caller was told.
+func (h *History) Claim(c Claim) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.claims = append(h.claims, c)
+}
+
+// Judge counts an answer that was given out as complete.
+func (h *History) Judge(v answer.Verdict) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.verdicts[v]++
+}
+
+// Runs returns the runs so far.
+func (h *History) Runs() []Run {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Run(nil), h.runs...)
+}
+
+// Refusals returns the refusals for overload so far.
+func (h *History) Refusals() []Refusal {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Refusal(nil), h.refusals...)
+}
+
+// Requests returns the customer requests that have ended.
+func (h *History) Requests() []Request {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Request(nil), h.requests...)
+}
+
+// Claims returns what callers were told so far.
+func (h *History) Claims() []Claim {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]Claim(nil), h.claims...)
+}
+
+// Answers returns how many answers were given a verdict.
+func (h *History) Answers(v answer.Verdict) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.verdicts[v]
+}
--- /dev/null
+++ b/internal/lab/server/announce.go
@@ -0,0 +1,62 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/caller"
+)
+
+// heartbeat is the interval between two announcements.
+const heartbeat = 200 * time.Millisecond
+
+// announcement is the body of POST /announce.
+type announcement struct {
+	Service     string `json:"service"`
+	Address     string `json:"address"`
+	Slots       int    `json:"slots"`
+	Connections int    `json:"connections"`
+}
+
+// announce tells the node of the server until ctx ends. A paused server is
+// silent.
+func (s *Server) announce(ctx context.Context) {
+	for s.clock.gate(ctx) {
+		// Health and load are sampled here, so that late reports have a past
+		// to draw on.
+		s.report()
+		if !s.draining.Load() {
+			_ = s.tell(ctx, "/announce", announcement{
+				Service: s.service, Address: s.Address(),
+				Slots: s.slots, Connections: s.connections,
+			})
+		}
+		if !sleep(ctx, heartbeat) {
+			return
+		}
+	}
+}
+
+// Drain tells the node that the server wants no new work. It returns a
+// *caller.Error if the node can't be reached.
+func (s *Server) Drain(ctx context.Context) error {
+	s.draining.Store(true)
+	return s.tell(ctx, "/drain", announcement{Service: s.service, Address: s.Address()})
+}
+
+// tell posts a message to the node.
+func (s *Server) tell(ctx context.Context, path string, message announcement) error {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	body, err := json.Marshal(message)
+	if err != nil {
+		return err
+	}
+	_, err = s.caller.Do(ctx, caller.Request{
+		Method: http.MethodPost, URL: "http://" + s.node + path,
+		Header: http.Header{"Content-Type": {"application/json"}}, Body: body,
+	})
+	return err
+}
--- /dev/null
+++ b/internal/lab/server/client.go
@@ -0,0 +1,76 @@
+package server
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/caller"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+)
+
+// visit makes the call of one step and checks its answer.
+func (s *Server) visit(ctx context.Context, c call, index int) *StepError {
+	step := c.path.Steps[index]
+	r, err := s.caller.Do(ctx, s.request(c, step, index))
+	if err != nil {
+		return &StepError{service: step.Service, cause: err}
+	}
+	if r.Status != http.StatusOK {
+		s.noteRefusal(c, step, r)
+		return &StepError{service: step.Service, status: r.Status}
+	}
+	verdict := answer.Verify(step.Service, c.Root, r.Header.Get(wire.Checksum), r.Body)
+	s.history.Judge(verdict)
+	if verdict != answer.Whole {
+		return &StepError{service: step.Service, status: r.Status}
+	}
+	return nil
+}
+
+// request builds the call of a step.
+func (s *Server) request(c call, step Step, index int) caller.Request {
+	identity := c.Identity
+	identity.Work = ""
+	if step.Once {
+		identity.Work = fmt.Sprintf("%s/%s/%d", c.Root, c.Work, index)
+	}
+	header := make(http.Header)
+	identity.Write(header.Set)
+	if c.id != "" && !s.forget {
+		header.Set(wire.Call, c.id)
+	}
+	return caller.Request{
+		Method: step.Method, URL: "http://" + s.node + "/" + step.Service + step.Path,
+		Header: header, Body: c.body,
+	}
+}
+
+// noteRefusal records an answer that says that a service is overloaded.
+func (s *Server) noteRefusal(c call, step Step, r caller.Reply) {
+	if r.Header.Get(wire.Shed) == "" && r.Header.Get(wire.Reason) != wire.Overload {
+		return
+	}
+	s.history.Refuse(history.Refusal{Root: c.Root, Service: step.Service, At: time.Now()})
+}
+
+// StepError reports a call of a server that got no whole answer.
+type StepError struct {
+	service string
+	status  int // HTTP status; 0 if there was no answer
+	cause   error
+}
+
+// Error names the service and what came of the call.
+func (e *StepError) Error() string {
+	if e.cause != nil {
+		return fmt.Sprintf("call of %s: %v", e.service, e.cause)
+	}
+	return fmt.Sprintf("call of %s: status %d", e.service, e.status)
+}
+
+// Unwrap returns the error of the HTTP client, if any.
+func (e *StepError) Unwrap() error { return e.cause }
--- /dev/null
+++ b/internal/lab/server/control.go
@@ -0,0 +1,161 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/lab/history"
+)
+
+// Paths that the server answers besides those of its service.
+const (
+	healthPath  = "/health"
+	loadPath    = "/load"
+	runsPath    = "/runs"
+	controlPath = "/control"
+)
+
+// Control changes the behaviour of a server. A field that is nil leaves the
+// present behaviour as it is.
+type Control struct {
+	Slow   *float64 `json:"slow,omitempty"`   // factor by which runs are slower
+	Paused *bool    `json:"paused,omitempty"` // stop all runs and answers
+	Lag    *int     `json:"lag,omitempty"`    // ms by which health and load are out of date
+	Lie    *bool    `json:"lie,omitempty"`    // report good health and no load in any case
+	Crash  bool     `json:"crash,omitempty"`
+}
+
+// Set applies a change of behaviour.
+func (s *Server) Set(c Control) {
+	if c.Slow != nil {
+		s.Slow(*c.Slow)
+	}
+	if c.Paused != nil {
+		s.Pause(*c.Paused)
+	}
+	s.reports.set(c)
+	if c.Crash {
+		s.Crash()
+	}
+}
+
+// handleControl answers requests for control and reports, and returns false
+// for any other request. A paused server answers only requests for control.
+func (s *Server) handleControl(life context.Context, r *fasthttp.RequestCtx) bool {
+	switch string(r.Path()) {
+	case healthPath:
+		s.clock.gate(life)
+		writeJSON(r, struct {
+			Healthy bool `json:"healthy"`
+		}{s.report().healthy})
+	case loadPath:
+		s.clock.gate(life)
+		writeJSON(r, struct {
+			Load int64 `json:"load"`
+		}{s.report().load})
+	case runsPath:
+		writeJSON(r, count(s.history.Runs()))
+	case controlPath:
+		s.handleChange(r)
+	default:
+		return false
+	}
+	return true
+}
+
+func (s *Server) handleChange(r *fasthttp.RequestCtx) {
+	var c Control
+	if err := json.Unmarshal(r.PostBody(), &c); err != nil {
+		r.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	r.SetStatusCode(fasthttp.StatusNoContent)
+	s.Set(c)
+}
+
+// report returns what the health and load endpoints say now.
+func (s *Server) report() report {
+	load := s.admitted.Load()
+	present := report{
+		at: time.Now(), load: load,
+		healthy: !s.draining.Load() && load <= int64(s.slots),
+	}
+	return s.reports.next(present)
+}
+
+// report is the state of a server at one time.
+type report struct {
+	at      time.Time
+	load    int64
+	healthy bool
+}
+
+// reports answers with old or false states.
+type reports struct {
+	mu   sync.Mutex
+	lag  time.Duration
+	lie  bool
+	past []report // in order of time, oldest first
+}
+
+func (p *reports) set(c Control) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.Lag != nil {
+		p.lag = time.Duration(*c.Lag) * time.Millisecond
+	}
+	if c.Lie != nil {
+		p.lie = *c.Lie
+	}
+}
+
+// next notes the present state and returns the one to report: the newest that
+// is at least as old as the lag, or good health if there is none.
+func (p *reports) next(present report) report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.past = append(p.past, present)
+	chosen := report{healthy: true}
+	for len(p.past) > 0 && present.at.Sub(p.past[0].at) >= p.lag {
+		chosen = p.past[0]
+		p.past = p.past[1:]
+	}
+	if chosen.at.IsZero() || p.lie {
+		return report{healthy: true}
+	}
+	// The chosen state stays the answer until a newer one is old enough.
+	p.past = append([]report{chosen}, p.past...)
+	return chosen
+}
+
+// counts is the body of the answer to GET /runs.
+type counts struct {
+	Runs  int            `json:"runs"`
+	Roots map[string]int `json:"roots"` // runs by customer request
+	Keys  map[string]int `json:"keys"`  // runs by key of non-repeatable work
+}
+
+func count(runs []history.Run) counts {
+	c := counts{Runs: len(runs), Roots: make(map[string]int), Keys: make(map[string]int)}
+	for _, r := range runs {
+		c.Roots[r.Root]++
+		if r.Work != "" {
+			c.Keys[r.Work]++
+		}
+	}
+	return c
+}
+
+func writeJSON(r *fasthttp.RequestCtx, value any) {
+	body, err := json.Marshal(value)
+	if err != nil {
+		r.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	r.SetContentType("application/json")
+	r.SetBody(body)
+}
--- /dev/null
+++ b/internal/lab/server/handle.go
@@ -0,0 +1,132 @@
+package server
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+)
+
+// call is one request to a server.
+type call struct {
+	wire.Identity
+	id       string // value of Papayapath-Call
+	path     Path
+	body     []byte
+	deadline time.Time // zero if there is none
+}
+
+// handle answers one request. life ends when the server stops or crashes.
+func (s *Server) handle(life context.Context, r *fasthttp.RequestCtx) {
+	if s.handleControl(life, r) {
+		return
+	}
+	c, ok := s.parse(r, time.Now())
+	switch {
+	case !ok:
+		r.SetStatusCode(fasthttp.StatusNotFound)
+	case s.admitted.Add(1) > int64(s.slots+s.connections):
+		s.admitted.Add(-1)
+		s.shed(r)
+	default:
+		defer s.admitted.Add(-1)
+		s.serveCall(life, r, c)
+	}
+}
+
+// parse reads a request. It returns false if the server has no such path.
+func (s *Server) parse(r *fasthttp.RequestCtx, now time.Time) (call, bool) {
+	get := func(name string) string { return string(r.Request.Header.Peek(name)) }
+	path, ok := match(s.paths, string(r.Path()))
+	c := call{
+		Identity: wire.Read(get), id: get(wire.Call), path: path,
+		body: append([]byte(nil), r.PostBody()...),
+	}
+	if left, err := strconv.Atoi(get(wire.Deadline)); err == nil {
+		c.deadline = now.Add(time.Duration(left) * time.Millisecond)
+	}
+	return c, ok
+}
+
+// shed refuses a request for lack of slots.
+func (s *Server) shed(r *fasthttp.RequestCtx) {
+	r.Response.Header.Set(wire.Shed, s.service)
+	r.SetStatusCode(fasthttp.StatusServiceUnavailable)
+}
+
+// serveCall runs a request once a slot is free. The run ends when the caller
+// closes its connection, the deadline passes or the server crashes.
+func (s *Server) serveCall(life context.Context, r *fasthttp.RequestCtx, c call) {
+	ctx, cancel := context.WithCancel(life)
+	defer cancel()
+	if !c.deadline.IsZero() {
+		var release context.CancelFunc
+		ctx, release = context.WithDeadline(ctx, c.deadline)
+		defer release()
+	}
+	stop := watch(r.Conn(), cancel)
+	defer stop()
+	select {
+	case <-ctx.Done():
+	case <-s.free:
+		defer func() { s.free <- struct{}{} }()
+	}
+	// The gate comes before the check, so that a paused server does not
+	// start a run whose deadline passed in the meantime.
+	if !s.clock.gate(ctx) {
+		s.end(life, ctx, r)
+		return
+	}
+	if err := s.run(ctx, c); err != nil {
+		r.Response.Header.Set(wire.Failed, err.service)
+		r.SetStatusCode(fasthttp.StatusBadGateway)
+	}
+	if ctx.Err() != nil {
+		s.end(life, ctx, r)
+		return
+	}
+	if r.Response.StatusCode() == fasthttp.StatusOK {
+		a := answer.New(s.service, c.Root, c.path.Size)
+		r.Response.Header.Set(wire.Checksum, a.Checksum())
+		r.SetBody(a.Body())
+	}
+}
+
+// run spends the time of a run and makes its calls.
+func (s *Server) run(ctx context.Context, c call) *StepError {
+	now := time.Now()
+	number := s.history.Start(history.Run{Identity: c.Identity, Service: s.service, Start: now})
+	defer func() { s.history.End(number, time.Now()) }()
+	if c.Crash {
+		s.Crash()
+		return nil
+	}
+	half := s.clock.duration(c.path.Run, now) / 2
+	if !s.clock.spend(ctx, half) {
+		return nil
+	}
+	for i := range c.path.Steps {
+		if err := s.visit(ctx, c, i); err != nil {
+			return err
+		}
+	}
+	s.clock.spend(ctx, half)
+	return nil
+}
+
+// end answers a run that was cut short: not at all if the caller or the
+// server is gone, otherwise that the deadline has passed.
+func (s *Server) end(life, ctx context.Context, r *fasthttp.RequestCtx) {
+	if !s.clock.gate(life) || ctx.Err() != context.DeadlineExceeded {
+		loopback.Drop(r)
+		return
+	}
+	r.ResetBody()
+	r.SetStatusCode(fasthttp.StatusGatewayTimeout)
+}
--- /dev/null
+++ b/internal/lab/server/server.go
@@ -0,0 +1,152 @@
+package server
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/lab/caller"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+)
+
+// Defaults of a server.
+const (
+	defaultSlots       = 10
+	defaultConnections = 100
+	defaultMean        = 5 * time.Millisecond
+	defaultRestart     = time.Second
+)
+
+// Server is a stand-in for one backend server. Its methods may be called from
+// any goroutine.
+type Server struct {
+	service     string
+	slots       int
+	connections int
+	mean        time.Duration
+	spread      float64
+	seed        uint64
+	cold        time.Duration
+	coldFactor  float64
+	paths       []Path
+	node        string
+	forget      bool
+	history     *history.History
+	restart     time.Duration
+
+	caller   *caller.Caller
+	clock    *clock
+	free     chan struct{} // one element for each free slot
+	admitted atomic.Int64  // requests that run or wait
+	draining atomic.Bool
+	reports  reports
+
+	mu      sync.Mutex
+	address string
+	crash   context.CancelFunc
+}
+
+// New returns a server of a service.
+func New(service string, options ...Option) *Server {
+	s := &Server{
+		service: service,
+		slots:   defaultSlots, connections: defaultConnections,
+		mean: defaultMean, coldFactor: 1,
+		restart: defaultRestart,
+		history: history.New(),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.caller = caller.New()
+	s.clock = newClock(s.mean, s.spread, s.seed, s.cold, s.coldFactor)
+	s.free = make(chan struct{}, s.slots)
+	for range s.slots {
+		s.free <- struct{}{}
+	}
+	return s
+}
+
+// Service returns the name of the service.
+func (s *Server) Service() string { return s.service }
+
+// Address returns where the server listens, or nothing while it is away.
+func (s *Server) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// Slow makes all runs take factor times as long.
+func (s *Server) Slow(factor float64) { s.clock.slow(factor) }
+
+// Pause stops all runs and answers, or lets them go on.
+func (s *Server) Pause(paused bool) { s.clock.pause(paused) }
+
+// Crash cuts all connections and loses all runs. The server comes back cold
+// at another address.
+func (s *Server) Crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.crash != nil {
+		s.crash()
+	}
+}
+
+// Run serves on listener until ctx ends, and on a new one after each crash.
+func (s *Server) Run(ctx context.Context, listener *loopback.Listener) error {
+	defer s.caller.Close()
+	for {
+		if err := s.serve(ctx, listener); err != nil {
+			return err
+		}
+		if !sleep(ctx, s.restart) {
+			return nil
+		}
+		var err error
+		if listener, err = loopback.Listen(); err != nil {
+			return err
+		}
+	}
+}
+
+// serve answers requests until ctx ends or the server crashes.
+func (s *Server) serve(ctx context.Context, listener *loopback.Listener) error {
+	life, crash := context.WithCancel(ctx)
+	defer crash()
+	s.clock.begin(time.Now())
+	s.place(listener.Address(), crash)
+	defer s.place("", nil)
+	var group conc.WaitGroup
+	if s.node != "" {
+		group.Go(func() { s.announce(life) })
+	}
+	err := loopback.Serve(life, listener, func(r *fasthttp.RequestCtx) { s.handle(life, r) })
+	crash()
+	group.Wait()
+	return err
+}
+
+// place notes where the server listens and how it is crashed.
+func (s *Server) place(address string, crash context.CancelFunc) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address, s.crash = address, crash
+}
+
+// sleep waits and reports whether ctx is still alive.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lab/server/server_test.go
@@ -0,0 +1,285 @@
+package server_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+	"github.com/papayapath/papayapath/internal/lab/server"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+)
+
+// The date clock of fasthttp is one goroutine for the whole process.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// patience bounds what a test waits for; it decides no verdict on a machine
+// that makes any progress.
+const patience = 30 * time.Second
+
+type bench struct {
+	t       *testing.T
+	server  *server.Server
+	history *history.History
+	address string
+	client  http.Client
+}
+
+func start(t *testing.T, options ...server.Option) *bench {
+	t.Helper()
+	b := &bench{t: t, history: history.New()}
+	listener, err := loopback.Listen()
+	require.NoError(t, err)
+	b.address = listener.Address()
+	options = append([]server.Option{
+		server.WithHistory(b.history), server.WithRun(time.Millisecond, 0),
+		server.WithPaths(server.Path{Prefix: "/days", Size: 1000}),
+	}, options...)
+	b.server = server.New("calendars", options...)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = b.server.Run(ctx, listener) })
+	t.Cleanup(func() {
+		b.client.CloseIdleConnections()
+		cancel()
+		group.Wait()
+	})
+	return b
+}
+
+// get sends a request with header fields given as name, value pairs.
+func (b *bench) get(ctx context.Context, path string, fields ...string) (*http.Response, string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+b.address+path, http.NoBody)
+	require.NoError(b.t, err)
+	for i := 0; i < len(fields); i += 2 {
+		request.Header.Set(fields[i], fields[i+1])
+	}
+	r, err := b.client.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	_ = r.Body.Close()
+	return r, string(body), err
+}
+
+func (b *bench) status(path string, fields ...string) int {
+	r, _, err := b.get(context.Background(), path, fields...)
+	require.NoError(b.t, err)
+	return r.StatusCode
+}
+
+func (b *bench) eventually(what string, condition func() bool) {
+	b.t.Helper()
+	require.Eventually(b.t, condition, patience, time.Millisecond, what)
+}
+
+func (b *bench) running() int {
+	n := 0
+	for _, r := range b.history.Runs() {
+		if r.End.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against an answer that a client can't verify, and a run that isn't
+// counted.
+func TestAnswerIsWholeAndCounted(t *testing.T) {
+	b := start(t)
+	r, body, err := b.get(context.Background(), "/days/7", wire.Root, "r1", wire.Work, "k1")
+	require.NoError(t, err)
+	require.Len(t, body, 1000)
+	require.Equal(t, answer.Whole, answer.Verify("calendars", "r1", r.Header.Get(wire.Checksum), []byte(body)))
+	_, body, err = b.get(context.Background(), "/runs")
+	require.NoError(t, err)
+	require.JSONEq(t, `{"runs":1,"roots":{"r1":1},"keys":{"k1":1}}`, body)
+	require.Equal(t, http.StatusNotFound, b.status("/other"))
+}
+
+// Guards against a server that takes more than its slots and connections.
+func TestShedsAboveSlotsAndConnections(t *testing.T) {
+	b := start(t, server.WithSlots(1, 1))
+	b.server.Pause(true)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	for range 2 {
+		group.Go(func() { _, _, _ = b.get(ctx, "/days") })
+	}
+	b.eventually("a third request is shed", func() bool {
+		short, stop := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer stop()
+		r, _, err := b.get(short, "/days")
+		return err == nil && r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(wire.Shed) == "calendars"
+	})
+	cancel()
+	group.Wait()
+	b.server.Pause(false)
+	b.eventually("cancelled requests make room", func() bool { return b.status("/days") == http.StatusOK })
+}
+
+// Guards against a run that starts, or answers, after its deadline.
+func TestDeadline(t *testing.T) {
+	b := start(t)
+	require.Equal(t, http.StatusGatewayTimeout, b.status("/days", wire.Deadline, "0"))
+	require.Empty(t, b.history.Runs())
+	b.server.Slow(float64(time.Hour / time.Millisecond))
+	require.Equal(t, http.StatusGatewayTimeout, b.status("/days", wire.Deadline, "50"))
+	require.Zero(t, b.running())
+}
+
+// Guards against a paused server that writes after the deadline of a call.
+func TestPausedServerRefusesLateWrite(t *testing.T) {
+	b := start(t)
+	b.server.Pause(true)
+	var group conc.WaitGroup
+	status := 0
+	group.Go(func() { status = b.status("/days", wire.Deadline, "10") })
+	time.Sleep(30 * time.Millisecond)
+	b.server.Pause(false)
+	group.Wait()
+	require.Equal(t, http.StatusGatewayTimeout, status)
+	require.Empty(t, b.history.Runs())
+}
+
+// Guards against a run that goes on after its caller has gone.
+func TestCancellation(t *testing.T) {
+	b := start(t)
+	b.server.Slow(float64(time.Hour / time.Millisecond))
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _, _, _ = b.get(ctx, "/days") })
+	b.eventually("the run starts", func() bool { return b.running() == 1 })
+	cancel()
+	group.Wait()
+	b.eventually("the run ends", func() bool { return b.running() == 0 })
+}
+
+// Guards against a crash that answers, or a server that does not come back.
+func TestCrash(t *testing.T) {
+	b := start(t, server.WithRestart(time.Millisecond))
+	_, _, err := b.get(context.Background(), "/days", wire.Root, "r1", wire.Crash, "1")
+	require.Error(t, err)
+	require.Len(t, b.history.Runs(), 1)
+	b.eventually("the server is back", func() bool {
+		address := b.server.Address()
+		back := address != "" && address != b.address
+		if back {
+			b.address = address
+		}
+		return back
+	})
+	require.Equal(t, http.StatusOK, b.status("/days"))
+}
+
+// Guards against health and load that are always right.
+func TestReportsLagAndLie(t *testing.T) {
+	b := start(t, server.WithSlots(1, 9))
+	hour, yes := int(time.Hour/time.Millisecond), true
+	b.server.Slow(float64(time.Hour / time.Millisecond))
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _, _, _ = b.get(ctx, "/days") })
+	b.eventually("the run starts", func() bool { return b.running() == 1 })
+	load := func() string {
+		_, body, err := b.get(context.Background(), "/load")
+		require.NoError(t, err)
+		return body
+	}
+	require.JSONEq(t, `{"load":1}`, load())
+	b.server.Set(server.Control{Lag: &hour})
+	require.JSONEq(t, `{"load":0}`, load())
+	zero := 0
+	b.server.Set(server.Control{Lag: &zero})
+	require.JSONEq(t, `{"load":1}`, load())
+	b.server.Set(server.Control{Lie: &yes})
+	require.JSONEq(t, `{"load":0}`, load())
+	cancel()
+	group.Wait()
+}
+
+// node is a fake of the node beside a server.
+type node struct {
+	announced chan map[string]any
+	drained   chan struct{}
+	calls     chan map[string]string
+	status    int
+}
+
+func startNode(t *testing.T) (*node, string) {
+	listener, err := loopback.Listen()
+	require.NoError(t, err)
+	n := &node{
+		announced: make(chan map[string]any, 100), drained: make(chan struct{}, 1),
+		calls: make(chan map[string]string, 100),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group conc.WaitGroup
+	group.Go(func() { _ = loopback.Serve(ctx, listener, n.handle) })
+	t.Cleanup(func() { cancel(); group.Wait() })
+	return n, listener.Address()
+}
+
+func (n *node) handle(r *fasthttp.RequestCtx) {
+	field := func(name string) string { return string(r.Request.Header.Peek(name)) }
+	switch string(r.Path()) {
+	case "/announce":
+		var m map[string]any
+		_ = json.Unmarshal(r.PostBody(), &m)
+		n.announced <- m
+	case "/drain":
+		n.drained <- struct{}{}
+	default:
+		n.calls <- map[string]string{
+			"path": string(r.Path()), "call": field(wire.Call), "root": field(wire.Root), "work": field(wire.Work),
+		}
+		r.Response.Header.Set(wire.Reason, wire.Overload)
+		r.SetStatusCode(http.StatusServiceUnavailable)
+	}
+}
+
+// Guards against calls that lose their parent, and against a deep refusal
+// that the checkers don't see.
+func TestStepsGoThroughNode(t *testing.T) {
+	n, address := startNode(t)
+	steps := server.WithPaths(server.Path{Prefix: "/days", Steps: []server.Step{
+		{Service: "proofs", Method: http.MethodPost, Path: "/files", Once: true},
+	}})
+	for _, c := range []struct {
+		want    string
+		options []server.Option
+	}{
+		{"c9", nil},
+		{"", []server.Option{server.WithoutForwarding()}},
+	} {
+		b := start(t, append([]server.Option{server.WithNode(address), steps}, c.options...)...)
+		require.Equal(t, http.StatusBadGateway, b.status("/days", wire.Root, "r1", wire.Call, "c9"))
+		require.Equal(t, map[string]string{"path": "/proofs/files", "call": c.want, "root": "r1", "work": "r1//0"}, <-n.calls)
+		require.Len(t, b.history.Refusals(), 1)
+	}
+}
+
+// Guards against a server that its node does not hear of.
+func TestAnnouncesAndDrains(t *testing.T) {
+	n, address := startNode(t)
+	b := start(t, server.WithNode(address), server.WithSlots(4, 30))
+	require.Equal(t, map[string]any{
+		"service": "calendars", "address": b.address, "slots": 4.0, "connections": 30.0,
+	}, <-n.announced)
+	<-n.announced
+	require.NoError(t, b.server.Drain(context.Background()))
+	<-n.drained
+}
--- /dev/null
+++ b/internal/lab/server/watch.go
@@ -0,0 +1,48 @@
+package server
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/conc"
+)
+
+// watch cancels a run when its caller closes the connection, and returns the
+// function that ends the watch. fasthttp itself does not look at a connection
+// while its handler runs.
+func watch(c net.Conn, cancel context.CancelFunc) (stop func()) {
+	source, ok := c.(syscall.Conn)
+	if !ok {
+		return func() {}
+	}
+	raw, err := source.SyscallConn()
+	if err != nil {
+		return func() {}
+	}
+	var group conc.WaitGroup
+	group.Go(func() {
+		_ = raw.Read(func(descriptor uintptr) bool { return peek(descriptor, cancel) })
+	})
+	return func() {
+		// A deadline in the past ends the pending read.
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+		group.Wait()
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
+// peek looks at the next byte without taking it, and reports whether there is
+// nothing more to wait for. A zero read or a reset means a closed connection.
+func peek(descriptor uintptr, cancel context.CancelFunc) bool {
+	var next [1]byte
+	n, _, err := syscall.Recvfrom(int(descriptor), next[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	switch {
+	case err == syscall.EAGAIN, err == syscall.EINTR:
+		return false
+	case err != nil, n == 0:
+		cancel()
+	}
+	return true
+}
