--- /dev/null
+++ b/internal/lab/checker/verdict.go
@@ -0,0 +1,111 @@
+package checker
+
+import (
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/pkg/importance"
+)
+
+// inversionWindow is how far back lower work counts against a refusal of
+// Critical work (section 8 of the design).
+const inversionWindow = 100 * time.Millisecond
+
+// Verdict holds the counts that must be zero.
+type Verdict struct {
+	Duplicates int // runs of a non-repeatable call beyond the first
+	Partials   int // incomplete or damaged answers given out as complete
+	Foreign    int // answers to another request given out as complete
+	Falsehoods int // sends said not to have run that did run
+	Inversions int // Critical calls refused while lower work of the service was admitted or running
+}
+
+// New returns the verdict on an experiment that has ended.
+func New(h *history.History) Verdict {
+	runs := h.Runs()
+	return Verdict{
+		Duplicates: duplicates(runs),
+		Partials:   h.Answers(answer.Partial),
+		Foreign:    h.Answers(answer.Foreign),
+		Falsehoods: falsehoods(runs, h.Claims()),
+		Inversions: inversions(runs, h.Refusals(), h.Levels()),
+	}
+}
+
+// work is one piece of work that may run once.
+type work struct{ service, key string }
+
+func duplicates(runs []history.Run) int {
+	count := 0
+	seen := make(map[work]bool)
+	for _, r := range runs {
+		if r.Work == "" {
+			continue
+		}
+		w := work{service: r.Service, key: r.Work}
+		if seen[w] {
+			count++
+		}
+		seen[w] = true
+	}
+	return count
+}
+
+// send is one send of a customer request.
+type send struct {
+	root    string
+	attempt int
+	service string
+}
+
+// falsehoods counts the sends whose caller was told that they had not run
+// although the called service started to run them. A resend that a node
+// answers from a run of an earlier send is the earlier send's run.
+func falsehoods(runs []history.Run, claims []history.Claim) int {
+	ran := make(map[send]bool)
+	for _, r := range runs {
+		ran[send{root: r.Root, attempt: r.Attempt, service: r.Service}] = true
+	}
+	count := 0
+	for _, c := range claims {
+		if c.NotRun && ran[send{root: c.Root, attempt: c.Attempt, service: c.Service}] {
+			count++
+		}
+	}
+	return count
+}
+
+// inversions counts the refusals of Critical requests for which a run of
+// lower importance overlaps the window before the refusal. Runs of requests
+// of unknown importance count as Critical.
+func inversions(runs []history.Run, refusals []history.Refusal, levels map[string]importance.Level) int {
+	lower := make(map[string][]history.Run)
+	for _, r := range runs {
+		if level, known := levels[r.Root]; known && level < importance.Critical {
+			lower[r.Service] = append(lower[r.Service], r)
+		}
+	}
+	count := 0
+	for _, r := range refusals {
+		if levels[r.Root] == importance.Critical && overlaps(lower[r.Service], r.At) {
+			count++
+		}
+	}
+	return count
+}
+
+// overlaps reports whether one of the runs was going on at any time in the
+// window that ends at a refusal.
+func overlaps(runs []history.Run, refused time.Time) bool {
+	begin := refused.Add(-inversionWindow)
+	for _, r := range runs {
+		if r.Start.After(refused) {
+			continue
+		}
+		if r.End.IsZero() || r.End.After(begin) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/lab/checker/verdict_test.go
@@ -0,0 +1,88 @@
+package checker_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/checker"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+	"github.com/papayapath/papayapath/pkg/importance"
+)
+
+var epoch = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+
+// run adds a run to h and ends it, unless end is negative.
+func run(h *history.History, service, root, work string, attempt, start, end int) {
+	n := h.Start(history.Run{
+		Identity: wire.Identity{Root: root, Work: work, Attempt: attempt}, Service: service, Start: at(start),
+	})
+	if end >= 0 {
+		h.End(n, at(end))
+	}
+}
+
+// Each case plants one fault, or something close to one that is none. Guards
+// against a checker that misses its fault or counts what is allowed.
+func TestPlantedFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		plant func(h *history.History)
+		want  checker.Verdict
+	}{
+		"second run of a key": {func(h *history.History) {
+			run(h, "reservations", "r1", "k1", 1, 0, 5)
+			run(h, "reservations", "r1", "k1", 2, 9, 12)
+		}, checker.Verdict{Duplicates: 1}},
+		"second run that was cancelled": {func(h *history.History) {
+			run(h, "reservations", "r1", "k1", 1, 0, -1)
+			run(h, "reservations", "r1", "k1", 1, 0, -1)
+		}, checker.Verdict{Duplicates: 1}},
+		"same key at two services, and repeatable runs": {func(h *history.History) {
+			run(h, "reservations", "r1", "k1", 1, 0, 5)
+			run(h, "certify", "r1", "k1", 1, 0, 5)
+			run(h, "calendars", "r1", "", 1, 0, 5)
+			run(h, "calendars", "r1", "", 1, 0, 5)
+		}, checker.Verdict{}},
+		"partial and foreign answers": {func(h *history.History) {
+			h.Judge(answer.Partial)
+			h.Judge(answer.Foreign)
+			h.Judge(answer.Whole)
+		}, checker.Verdict{Partials: 1, Foreign: 1}},
+		"told notrun but run": {func(h *history.History) {
+			run(h, "reservations", "r1", "k1", 2, 0, 5)
+			h.Claim(history.Claim{Root: "r1", Attempt: 2, Service: "reservations", NotRun: true})
+		}, checker.Verdict{Falsehoods: 1}},
+		"told notrun of a resend, and unknown of a run": {func(h *history.History) {
+			run(h, "reservations", "r1", "k1", 1, 0, 5)
+			h.Claim(history.Claim{Root: "r1", Attempt: 1, Service: "reservations"})
+			h.Claim(history.Claim{Root: "r1", Attempt: 2, Service: "reservations", NotRun: true})
+		}, checker.Verdict{}},
+		"critical refused while lower work runs": {func(h *history.History) {
+			run(h, "calendars", "low", "", 1, 0, -1)
+			h.Refuse(history.Refusal{Root: "critical", Service: "calendars", At: at(900)})
+		}, checker.Verdict{Inversions: 1}},
+		"critical refused just after lower work": {func(h *history.History) {
+			run(h, "calendars", "low", "", 1, 0, 50)
+			h.Refuse(history.Refusal{Root: "critical", Service: "calendars", At: at(149)})
+		}, checker.Verdict{Inversions: 1}},
+		"lower work too early, too late, elsewhere or critical": {func(h *history.History) {
+			run(h, "calendars", "low", "", 1, 0, 50)
+			run(h, "calendars", "low", "", 1, 151, 160)
+			run(h, "proofs", "low", "", 1, 100, 200)
+			run(h, "calendars", "critical", "", 1, 100, 200)
+			h.Refuse(history.Refusal{Root: "critical", Service: "calendars", At: at(150)})
+			h.Refuse(history.Refusal{Root: "low", Service: "calendars", At: at(40)})
+		}, checker.Verdict{}},
+	} {
+		h := history.New()
+		h.Send("critical", importance.Critical)
+		h.Send("low", importance.High)
+		c.plant(h)
+		require.Equal(t, c.want, checker.New(h), name)
+	}
+}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -1,6 +1,7 @@
 package history
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -30,11 +31,20 @@
 	Service    string
 	Importance importance.Level
 	Arrived    time.Time
-	Finished   time.Time // when the whole answer was there; zero if it never was
-	Delay      time.Duration
+	Finished   time.Time     // when the whole answer was there; zero if it never was
+	Deadline   time.Duration // time limit of one send
 	Sends      int
 }
 
+// Delay returns the time from the arrival to the whole answer.
+func (r Request) Delay() time.Duration { return r.Finished.Sub(r.Arrived) }
+
+// Complete reports whether the request got its whole answer.
+func (r Request) Complete() bool { return !r.Finished.IsZero() }
+
+// InTime reports whether the whole answer came within one time limit.
+func (r Request) InTime() bool { return r.Complete() && r.Delay() <= r.Deadline }
+
 // Claim is what a caller was told of one send of a request.
 type Claim struct {
 	Root    string
@@ -51,11 +61,17 @@
 	refusals []Refusal
 	requests []Request
 	claims   []Claim
+	levels   map[string]importance.Level
 	verdicts map[answer.Verdict]int
 }
 
 // New returns an empty history.
-func New() *History { return &History{verdicts: make(map[answer.Verdict]int)} }
+func New() *History {
+	return &History{
+		verdicts: make(map[answer.Verdict]int),
+		levels:   make(map[string]importance.Level),
+	}
+}
 
 // Start records that a run has started, and returns its number for End.
 func (h *History) Start(r Run) int {
@@ -121,6 +137,20 @@
 	return append([]Request(nil), h.requests...)
 }
 
+// Levels returns the importance of each customer request that was sent.
+func (h *History) Levels() map[string]importance.Level {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return maps.Clone(h.levels)
+}
+
+// Send records that a customer request is being sent for the first time.
+func (h *History) Send(root string, level importance.Level) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.levels[root] = level
+}
+
 // Claims returns what callers were told so far.
 func (h *History) Claims() []Claim {
 	h.mu.Lock()
--- /dev/null
+++ b/internal/lab/load/generator_test.go
@@ -0,0 +1,202 @@
+package load_test
+
+import (
+	"context"
+	"math"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/checker"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/load"
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+	"github.com/papayapath/papayapath/pkg/importance"
+)
+
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m, goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"))
+}
+
+// requests is how many requests a test lets arrive.
+const requests = 20
+
+// seen is what an entry saw of one send.
+type seen struct{ customer, root, key, attempt, body string }
+
+// whole writes the whole answer to a request.
+func whole(r *fasthttp.RequestCtx, root string) {
+	a := answer.New("reservations", root, 100)
+	r.Response.Header.Set(wire.Checksum, a.Checksum())
+	r.SetBody(a.Body())
+}
+
+// drive runs a generator against an entry until enough requests have arrived
+// and all have ended. It returns what the entry saw.
+func drive(t *testing.T, h *history.History, handle func(r *fasthttp.RequestCtx, s seen)) []seen {
+	t.Helper()
+	listener, err := loopback.Listen()
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	arriving, enough := context.WithCancel(ctx)
+	var mu sync.Mutex
+	var all []seen
+	first := 0
+	var group conc.WaitGroup
+	group.Go(func() {
+		_ = loopback.Serve(ctx, listener, func(r *fasthttp.RequestCtx) {
+			field := func(name string) string { return string(r.Request.Header.Peek(name)) }
+			s := seen{field(wire.Customer), field(wire.Root), field(wire.Key), field(wire.Attempt), string(r.PostBody())}
+			mu.Lock()
+			all = append(all, s)
+			if s.attempt == "1" {
+				first++
+			}
+			if first == requests {
+				enough()
+			}
+			mu.Unlock()
+			handle(r, s)
+		})
+	})
+	load.New(7, []string{listener.Address()}, h, load.Customer{
+		Name: "commune", Rate: 500, Resends: 2,
+		Classes: []load.Class{{
+			Service: "reservations", Method: http.MethodPost, Path: "/campaigns", Weight: 1,
+			Importance: importance.Critical, Once: true, Deadline: time.Minute,
+		}},
+	}).Run(ctx, arriving)
+	cancel()
+	group.Wait()
+	return all
+}
+
+// Guards against answers that are lost or not counted.
+func TestWholeAnswers(t *testing.T) {
+	h := history.New()
+	all := drive(t, h, func(r *fasthttp.RequestCtx, s seen) { whole(r, s.root) })
+	require.GreaterOrEqual(t, len(all), requests)
+	require.Len(t, h.Requests(), len(all))
+	for _, r := range h.Requests() {
+		require.True(t, r.InTime())
+		require.Equal(t, importance.Critical, h.Levels()[r.Root])
+	}
+	require.Equal(t, len(all), h.Answers(answer.Whole))
+	_, err := uuid.Parse(all[0].key)
+	require.NoError(t, err)
+	require.Equal(t, "commune", all[0].customer)
+}
+
+// Guards against a resend that looks like a new request.
+func TestResendKeepsKeyAndBody(t *testing.T) {
+	h := history.New()
+	sends := make(map[string][]seen)
+	for _, s := range drive(t, h, func(r *fasthttp.RequestCtx, s seen) {
+		if s.attempt == "1" {
+			r.SetStatusCode(http.StatusServiceUnavailable)
+			return
+		}
+		whole(r, s.root)
+	}) {
+		sends[s.root] = append(sends[s.root], s)
+	}
+	for _, s := range sends {
+		require.Len(t, s, 2)
+		require.Equal(t, []string{"1", "2"}, []string{s[0].attempt, s[1].attempt})
+		s[1].attempt = "1"
+		require.Equal(t, s[0], s[1])
+	}
+	require.True(t, h.Requests()[0].Complete())
+}
+
+// Guards against resends without end, and of answers that can't change.
+func TestResendsAreBounded(t *testing.T) {
+	for outcome, sends := range map[string]int{"unknown": 3, wire.Complete: 1} {
+		h := history.New()
+		all := drive(t, h, func(r *fasthttp.RequestCtx, _ seen) {
+			r.Response.Header.Set(wire.Outcome, outcome)
+			r.SetStatusCode(http.StatusGatewayTimeout)
+		})
+		require.Len(t, all, sends*len(h.Requests()))
+		require.False(t, h.Requests()[0].Complete())
+	}
+}
+
+// Each entry is faulty in one way. Guards against a client that doesn't see
+// or doesn't report the fault.
+func TestFaultyEntries(t *testing.T) {
+	for name, c := range map[string]struct {
+		handle func(h *history.History, r *fasthttp.RequestCtx, s seen)
+		count  func(v checker.Verdict) int
+	}{
+		"partial": {
+			func(_ *history.History, r *fasthttp.RequestCtx, s seen) {
+				whole(r, s.root)
+				r.SetBody(r.Response.Body()[:50])
+			},
+			func(v checker.Verdict) int { return v.Partials },
+		},
+		"foreign": {
+			func(_ *history.History, r *fasthttp.RequestCtx, _ seen) { whole(r, "other") },
+			func(v checker.Verdict) int { return v.Foreign },
+		},
+		"false notrun": {
+			func(h *history.History, r *fasthttp.RequestCtx, s seen) {
+				attempt, _ := strconv.Atoi(s.attempt)
+				h.Start(history.Run{Service: "reservations", Identity: wire.Identity{Root: s.root, Attempt: attempt}})
+				r.Response.Header.Set(wire.Outcome, wire.NotRun)
+				r.SetStatusCode(http.StatusServiceUnavailable)
+			},
+			func(v checker.Verdict) int { return v.Falsehoods },
+		},
+		"inversion": {
+			func(h *history.History, r *fasthttp.RequestCtx, _ seen) {
+				h.Send("low", importance.Normal)
+				h.Start(history.Run{Service: "reservations", Identity: wire.Identity{Root: "low"}, Start: time.Now()})
+				r.Response.Header.Set(wire.Reason, wire.Overload)
+				r.SetStatusCode(http.StatusServiceUnavailable)
+			},
+			func(v checker.Verdict) int { return v.Inversions },
+		},
+	} {
+		h := history.New()
+		all := drive(t, h, func(r *fasthttp.RequestCtx, s seen) { c.handle(h, r, s) })
+		require.Equal(t, len(all), c.count(checker.New(h)), name)
+	}
+}
+
+// Guards against load that does not follow the rate. The count of a Poisson
+// process has a standard deviation of its square root.
+func TestRateFollowsDisturbance(t *testing.T) {
+	for _, factor := range []float64{1, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			h := history.New()
+			ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+			defer cancel()
+			g := load.New(1, []string{"127.0.0.1:1"}, h, load.Customer{
+				Name: "commune", Rate: 30,
+				Classes: []load.Class{{Service: "s", Method: http.MethodGet, Weight: 1, Deadline: time.Second}},
+			})
+			var group conc.WaitGroup
+			group.Go(func() {
+				time.Sleep(5 * time.Second)
+				g.Disturb(factor, true)
+			})
+			g.Run(context.Background(), ctx)
+			group.Wait()
+			want := 5*30 + 5*30*factor
+			require.InDelta(t, want, float64(len(h.Requests())), 5*math.Sqrt(want))
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/load/request.go
@@ -0,0 +1,124 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/answer"
+	"github.com/papayapath/papayapath/internal/lab/caller"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+)
+
+// request is one customer request with all its sends.
+type request struct {
+	customer Customer
+	class    Class
+	root     string
+	key      string // idempotency key; empty if the request is repeatable
+	arrived  time.Time
+	sends    int
+}
+
+// serve sends a request until it has its whole answer, has failed for good or
+// has no resends left, and records its fate.
+func (g *Generator) serve(ctx context.Context, r *request) {
+	g.history.Send(r.root, r.class.Importance)
+	finished := time.Time{}
+	for r.sends <= r.customer.Resends {
+		r.sends++
+		fate := g.send(ctx, r)
+		if ctx.Err() != nil {
+			return
+		}
+		if fate == whole {
+			finished = time.Now()
+		}
+		if fate != failed || !g.rest(ctx) {
+			break
+		}
+	}
+	g.history.Finish(history.Request{
+		Root: r.root, Service: r.class.Service, Importance: r.class.Importance,
+		Arrived: r.arrived, Finished: finished, Deadline: r.class.Deadline, Sends: r.sends,
+	})
+}
+
+// fate is what became of one send.
+type fate int
+
+const (
+	failed  fate = iota // may be sent again
+	whole               // the whole answer to the request
+	refused             // sending it again is of no use
+)
+
+// send sends a request once and checks the answer.
+func (g *Generator) send(ctx context.Context, r *request) fate {
+	ctx, cancel := context.WithTimeout(ctx, r.class.Deadline)
+	defer cancel()
+	reply, err := g.caller.Do(ctx, caller.Request{
+		Method: r.class.Method, URL: "http://" + g.entry() + "/" + r.class.Service + r.class.Path,
+		Header: r.header(), Body: r.body(),
+	})
+	if err != nil {
+		return failed
+	}
+	g.note(r, reply)
+	if reply.Status != http.StatusOK {
+		return r.judge(reply)
+	}
+	verdict := answer.Verify(r.class.Service, r.root, reply.Header.Get(wire.Checksum), reply.Body)
+	g.history.Judge(verdict)
+	if verdict != answer.Whole {
+		return failed
+	}
+	return whole
+}
+
+// header returns the header fields of the next send.
+func (r *request) header() http.Header {
+	h := make(http.Header)
+	h.Set(wire.Customer, r.customer.Name)
+	h.Set(wire.Request, r.root)
+	h.Set(wire.Timeout, strconv.FormatInt(r.class.Deadline.Milliseconds(), 10))
+	if r.key != "" {
+		h.Set(wire.Key, r.key)
+	}
+	wire.Identity{Root: r.root, Attempt: r.sends, Work: r.key}.Write(h.Set)
+	return h
+}
+
+// body returns the same bytes for each send, because a resend of a key must
+// not change its content.
+func (r *request) body() []byte {
+	if r.class.Method == http.MethodGet {
+		return nil
+	}
+	return []byte(`{"request":"` + r.root + `"}`)
+}
+
+// note records what the caller was told.
+func (g *Generator) note(r *request, reply caller.Reply) {
+	g.history.Claim(history.Claim{
+		Root: r.root, Attempt: r.sends, Service: r.class.Service,
+		NotRun: reply.Header.Get(wire.Outcome) == wire.NotRun,
+	})
+	if reply.Header.Get(wire.Shed) != "" || reply.Header.Get(wire.Reason) == wire.Overload {
+		g.history.Refuse(history.Refusal{Root: r.root, Service: r.class.Service, At: time.Now()})
+	}
+}
+
+// judge returns the fate of a send whose answer is an error. The answer of a
+// server to non-repeatable work stays the same for its key, so that sending
+// it again is of no use; neither does a fault of the request go away.
+func (r *request) judge(reply caller.Reply) fate {
+	final := r.key != "" && reply.Header.Get(wire.Outcome) == wire.Complete
+	fault := reply.Status < http.StatusInternalServerError && reply.Status != http.StatusTooManyRequests
+	if final || fault {
+		return refused
+	}
+	return failed
+}
