--- a/pkg/acceptor/guard.go
+++ b/pkg/acceptor/guard.go
@@ -40,4 +40,5 @@
 	Reason   outcome.Reason  // for GuardRefuse
 	Epoch    uint64          // newer owner table, if the guard knows one
 	Answer   *message.Answer // for GuardReplay; call and attempt are filled in by the acceptor
+	Body     []byte          // for GuardReplay; body of Answer
 }
--- a/pkg/acceptor/run.go
+++ b/pkg/acceptor/run.go
@@ -63,7 +63,9 @@
 		answer := a.answers.take()
 		*answer = *v.Answer
 		answer.Replayed = true
-		return a.conclude(now, e, answer, out), false
+		out = a.conclude(now, e, answer, out)
+		out[len(out)-1].Body = v.Body
+		return out, false
 	default:
 		answer := a.answers.take()
 		answer.Outcome, answer.Reason, answer.Epoch = v.Outcome, v.Reason, v.Epoch
--- a/pkg/message/control.go
+++ b/pkg/message/control.go
@@ -12,6 +12,13 @@
 	MemberUpdate       *MemberUpdate       `cbor:"5,keyasint,omitempty"`
 	DeclarationsDigest *DeclarationsDigest `cbor:"6,keyasint,omitempty"`
 	DeclarationsUpdate *DeclarationsUpdate `cbor:"7,keyasint,omitempty"`
+	PromiseRequest     *PromiseRequest     `cbor:"8,keyasint,omitempty"`
+	Promise            *Promise            `cbor:"9,keyasint,omitempty"`
+	TableRequest       *TableRequest       `cbor:"10,keyasint,omitempty"`
+	OwnerSnapshot      *OwnerSnapshot      `cbor:"11,keyasint,omitempty"`
+	Demand             *Demand             `cbor:"12,keyasint,omitempty"`
+	Share              *Share              `cbor:"13,keyasint,omitempty"`
+	Suspicion          *Suspicion          `cbor:"14,keyasint,omitempty"`
 }
 
 // Send is a control message and the node that it goes to. An ID with
@@ -20,3 +27,9 @@
 	To      instance.ID
 	Control Control
 }
+
+// TableRequest asks an instance of a service for the owner table that it
+// knows, because the log no longer holds it.
+type TableRequest struct {
+	Service string `cbor:"1,keyasint"`
+}
