--- a/pkg/node/call.go
+++ b/pkg/node/call.go
@@ -104,3 +104,6 @@
 	delete(n.children, call)
 	n.acceptor.EndChild(now, parent)
 }
+
+// Recycle returns an answer that its adapter no longer needs.
+func (n *Node) Recycle(a *message.Answer) { n.acceptor.Recycle(a) }
