--- /dev/null
+++ b/internal/lab/deployment/nilegear.go
@@ -0,0 +1,64 @@
+package deployment
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/load"
+	"github.com/papayapath/papayapath/internal/lab/server"
+	"github.com/papayapath/papayapath/pkg/importance"
+)
+
+// Classes of requests to Nilegear. All enter at the profiles and are four
+// calls deep.
+var (
+	profiles = load.Class{
+		Service: "profiles", Method: http.MethodGet, Path: "/teeth",
+		Importance: importance.Background, Deadline: 800 * time.Millisecond,
+	}
+	preview = load.Class{
+		Service: "profiles", Method: http.MethodGet, Path: "/stiffness",
+		Importance: importance.High, Deadline: 800 * time.Millisecond,
+	}
+	certify = load.Class{
+		Service: "profiles", Method: http.MethodPost, Path: "/checks",
+		Importance: importance.Critical, Once: true, Deadline: 1500 * time.Millisecond,
+	}
+	drawings = load.Class{
+		Service: "profiles", Method: http.MethodGet, Path: "/bundles",
+		Importance: importance.Normal, Deadline: 2 * time.Second,
+	}
+)
+
+// Nilegear returns the deployment of Nilegear Computations. A tenth of the 25
+// slots of a preview server is rounded up to 3.
+func Nilegear() *Deployment {
+	return &Deployment{
+		name: "nilegear", bottleneck: "preview",
+		services: []Service{
+			{Name: "profiles", Servers: 4, Slots: 7, Connections: 50, Run: frontRun, Paths: []server.Path{
+				path("/teeth", page, get("certify", "/materials")),
+				path("/stiffness", small, get("certify", "/materials")),
+				path("/checks", small, post("certify", "/checks")),
+				path("/bundles", bundle, get("certify", "/stamps")),
+			}},
+			{Name: "certify", Servers: 3, Slots: 9, Connections: 60, Run: middleRun, Paths: []server.Path{
+				path("/materials", small, get("drawings", "/geometry")),
+				path("/checks", small, get("drawings", "/geometry")),
+				path("/stamps", small, get("drawings", "/files")),
+			}},
+			{Name: "drawings", Servers: 3, Slots: 9, Connections: 60, Run: middleRun, Paths: []server.Path{
+				path("/geometry", small, get("preview", "/mesh")),
+				path("/files", download, get("preview", "/mesh")),
+			}},
+			{Name: "preview", Servers: 3, Slots: 3, Connections: 25, Run: deepRun, Paths: []server.Path{
+				path("/mesh", small),
+			}},
+		},
+		customers: []load.Customer{
+			customer("gearboxes", 40, weighted(profiles, 3), weighted(preview, 4), weighted(certify, 2), weighted(drawings, 1)),
+			customer("pumps", 30, weighted(profiles, 4), weighted(preview, 3), weighted(certify, 1), weighted(drawings, 2)),
+			customer("labs", 30, weighted(profiles, 5), weighted(preview, 5)),
+		},
+	}
+}
--- /dev/null
+++ b/internal/lab/deployment/regie.go
@@ -0,0 +1,66 @@
+package deployment
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/load"
+	"github.com/papayapath/papayapath/internal/lab/server"
+	"github.com/papayapath/papayapath/pkg/importance"
+)
+
+// Classes of requests to the Régie. All enter at the catalogue and are four
+// calls deep.
+var (
+	browse = load.Class{
+		Service: "catalogue", Method: http.MethodGet, Path: "/faces",
+		Importance: importance.Background, Deadline: 800 * time.Millisecond,
+	}
+	availability = load.Class{
+		Service: "catalogue", Method: http.MethodGet, Path: "/availability",
+		Importance: importance.High, Deadline: 800 * time.Millisecond,
+	}
+	reserve = load.Class{
+		Service: "catalogue", Method: http.MethodPost, Path: "/campaigns",
+		Importance: importance.Critical, Once: true, Deadline: 1500 * time.Millisecond,
+	}
+	proofs = load.Class{
+		Service: "catalogue", Method: http.MethodGet, Path: "/proofs",
+		Importance: importance.Normal, Deadline: 2 * time.Second,
+	}
+)
+
+// Regie returns the deployment of the Régie Publique d'Affichage de Bretagne.
+func Regie() *Deployment {
+	return &Deployment{
+		name: "regie", bottleneck: "calendars",
+		services: []Service{
+			{Name: "catalogue", Servers: 4, Slots: 20, Connections: 130, Run: frontRun, Paths: []server.Path{
+				path("/faces", page, get("reservations", "/occupancy")),
+				path("/availability", small, get("reservations", "/holds")),
+				path("/campaigns", small, post("reservations", "/campaigns")),
+				path("/proofs", download, get("reservations", "/rights")),
+			}},
+			{Name: "reservations", Servers: 3, Slots: 27, Connections: 170, Run: middleRun, Paths: []server.Path{
+				path("/occupancy", small, get("proofs", "/thumbnails")),
+				path("/holds", small, get("proofs", "/formats")),
+				path("/campaigns", small, get("proofs", "/formats")),
+				path("/rights", small, get("proofs", "/files")),
+			}},
+			{Name: "proofs", Servers: 3, Slots: 27, Connections: 170, Run: middleRun, Paths: []server.Path{
+				path("/thumbnails", page, get("calendars", "/days")),
+				path("/formats", small, get("calendars", "/days")),
+				path("/files", download, get("calendars", "/days")),
+			}},
+			{Name: "calendars", Servers: 3, Slots: 4, Connections: 30, Run: deepRun, Paths: []server.Path{
+				path("/days", small),
+			}},
+		},
+		customers: []load.Customer{
+			customer("communes", 50, weighted(browse, 4), weighted(availability, 3), weighted(reserve, 2), weighted(proofs, 1)),
+			customer("festivals", 30, weighted(browse, 3), weighted(availability, 5), weighted(reserve, 1), weighted(proofs, 1)),
+			customer("shops", 30, weighted(browse, 5), weighted(proofs, 5)),
+			customer("committees", 20, weighted(browse, 4), weighted(availability, 4), weighted(reserve, 2)),
+		},
+	}
+}
