Add the experiment and its figures

Change: internal/lab/experiment runs a deployment behind a Variant through warm-up, steady load, disturbance and recovery; the naive variant is built. internal/lab/figures computes goodput, share, recovery, amplification, delays and series from the history. Figures: none measured. Conclusion: the figures follow their definitions on made-up histories; the recovery compares the share of requests answered in time, because goodput per second varies by more than 5% with the Poisson arrivals alone.

--- /dev/null
+++ b/internal/lab/experiment/experiment.go
@@ -0,0 +1,171 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/papayapath/papayapath/internal/lab/deployment"
+	"github.com/papayapath/papayapath/internal/lab/figures"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/load"
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+	"github.com/papayapath/papayapath/internal/lab/server"
+)
+
+const (
+	// slowdown is the factor by which the deep service slows in the
+	// disturbance, and surge the one by which demand grows (section 11 of
+	// the design).
+	slowdown = 4
+	surge    = 3
+	// settle is the time between the start of the servers and the first
+	// request. Each server has announced itself by then.
+	settle = 300 * time.Millisecond
+	// grace is how long after the last arrival answers are waited for. No
+	// send has a longer time limit.
+	grace = 2 * time.Second
+)
+
+// Experiment is one run of a deployment behind a variant.
+type Experiment struct {
+	deployment *deployment.Deployment
+	variant    Variant
+	seed       uint64
+	timeline   figures.Timeline
+
+	history   *history.History
+	servers   []*server.Server
+	generator *load.Generator
+	phases    figures.Phases
+}
+
+// Option changes an Experiment.
+type Option func(*Experiment)
+
+// New returns the experiment with a deployment and a variant.
+func New(d *deployment.Deployment, v Variant, options ...Option) *Experiment {
+	e := &Experiment{
+		deployment: d, variant: v, seed: 1, timeline: figures.DefaultTimeline(),
+		history: history.New(),
+	}
+	for _, o := range options {
+		o(e)
+	}
+	return e
+}
+
+// WithSeed sets the seed of arrivals and run times.
+func WithSeed(seed uint64) Option { return func(e *Experiment) { e.seed = seed } }
+
+// WithTimeline sets how long the phases last.
+func WithTimeline(t figures.Timeline) Option { return func(e *Experiment) { e.timeline = t } }
+
+// Run runs the experiment once and returns its figures. An Experiment can't
+// be run a second time. Run returns the context's error if ctx ends early.
+func (e *Experiment) Run(ctx context.Context) (figures.Figures, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	mesh, err := e.variant.Start(ctx, e.deployment)
+	if err != nil {
+		return figures.Figures{}, err
+	}
+	stopServers, err := e.startServers(ctx, mesh)
+	if err == nil {
+		err = e.disturb(ctx, mesh)
+	}
+	err = errors.Join(err, stopServers(), mesh.Stop())
+	if err != nil {
+		return figures.Figures{}, err
+	}
+	return figures.New(figures.Subject{
+		Deployment: e.deployment.Name(), Variant: e.variant.Name(),
+		Seed: e.seed, Limit: e.deployment.Limit(slowdown),
+	}, e.phases, e.history), nil
+}
+
+// startServers starts the backend servers and returns the function that stops
+// those that were started.
+func (e *Experiment) startServers(ctx context.Context, mesh Mesh) (stop func() error, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group := pool.New().WithErrors()
+	stop = func() error {
+		cancel()
+		return group.Wait()
+	}
+	for i, backend := range mesh.Backends {
+		listener, err := loopback.Listen()
+		if err != nil {
+			return stop, err
+		}
+		s := e.deployment.Server(i, backend, e.seed, e.history)
+		e.servers = append(e.servers, s)
+		group.Go(func() error { return s.Run(ctx, listener) })
+	}
+	return stop, nil
+}
+
+// disturb takes the load through the phases.
+func (e *Experiment) disturb(ctx context.Context, mesh Mesh) error {
+	if err := wait(ctx, settle); err != nil {
+		return err
+	}
+	waiting, cut := context.WithTimeout(ctx, e.timeline.Total()+grace)
+	defer cut()
+	arriving, enough := context.WithCancel(waiting)
+	defer enough()
+	e.generator = load.New(e.seed, mesh.Entries, e.history, e.deployment.Customers()...)
+	var group conc.WaitGroup
+	group.Go(func() { e.generator.Run(waiting, arriving) })
+	err := e.pass(ctx)
+	enough()
+	group.Wait()
+	return err
+}
+
+// pass waits through the phases and notes when each began.
+func (e *Experiment) pass(ctx context.Context) error {
+	for _, phase := range []struct {
+		begin *time.Time
+		enter func()
+		last  time.Duration
+	}{
+		{&e.phases.Warm, func() {}, e.timeline.Warm},
+		{&e.phases.Steady, func() {}, e.timeline.Steady},
+		{&e.phases.Disturbance, func() { e.set(slowdown, surge, true) }, e.timeline.Disturbance},
+		{&e.phases.Recovery, func() { e.set(1, 1, false) }, e.timeline.Recovery},
+	} {
+		*phase.begin = time.Now()
+		phase.enter()
+		if err := wait(ctx, phase.last); err != nil {
+			return err
+		}
+	}
+	e.phases.End = time.Now()
+	return nil
+}
+
+// set changes the speed of the deep service and the load.
+func (e *Experiment) set(slow, demand float64, hard bool) {
+	for _, s := range e.servers {
+		if s.Service() == e.deployment.Bottleneck() {
+			s.Slow(slow)
+		}
+	}
+	e.generator.Disturb(demand, hard)
+}
+
+// wait returns nil after d, or the context's error.
+func wait(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/lab/experiment/experiment_test.go
@@ -0,0 +1,53 @@
+package experiment_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"github.com/papayapath/papayapath/internal/lab/deployment"
+	"github.com/papayapath/papayapath/internal/lab/experiment"
+	"github.com/papayapath/papayapath/internal/lab/figures"
+)
+
+// The cleaners of the client of fasthttp end by themselves after 10 s.
+func TestMain(m *testing.M) {
+	goleak.VerifyTestMain(m,
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"))
+}
+
+// brief is too short for meaningful figures.
+var brief = figures.Timeline{
+	Warm: 200 * time.Millisecond, Steady: 200 * time.Millisecond,
+	Disturbance: 200 * time.Millisecond, Recovery: 200 * time.Millisecond,
+}
+
+// Guards against an experiment that measures nothing, mixes up its subjects
+// or leaves goroutines behind. Its figures decide nothing.
+func TestAll(t *testing.T) {
+	all, err := experiment.All(context.Background(), deployment.All(),
+		[]experiment.Variant{experiment.Naive()}, experiment.WithTimeline(brief))
+	require.NoError(t, err)
+	require.Len(t, all, 2)
+	require.Equal(t, []string{"nilegear", "regie"}, []string{all[0].Deployment, all[1].Deployment})
+	require.Equal(t, []int{150, 200}, []int{all[0].Limit, all[1].Limit})
+	for _, f := range all {
+		require.Equal(t, "naive", f.Variant)
+		require.Positive(t, f.Requests)
+		require.Zero(t, f.Verdict.Partials+f.Verdict.Foreign)
+		require.False(t, f.Recovered, "5 s were not watched")
+	}
+}
+
+// Guards against an experiment that goes on after its context has ended.
+func TestRunEndsWithContext(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	_, err := experiment.New(deployment.Regie(), experiment.Naive()).Run(ctx)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/internal/lab/experiment/naive.go
@@ -0,0 +1,55 @@
+package experiment
+
+import (
+	"context"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"github.com/papayapath/papayapath/internal/lab/deployment"
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+	"github.com/papayapath/papayapath/internal/lab/naive"
+)
+
+// naiveVariant is the baseline.
+type naiveVariant struct{}
+
+// Naive returns the variant with proxies of package naive.
+func Naive() Variant { return naiveVariant{} }
+
+// Name returns the name in the figures.
+func (naiveVariant) Name() string { return "naive" }
+
+// Start starts one proxy for each backend server. It returns a
+// *loopback.ListenError if there are no free ports.
+func (naiveVariant) Start(ctx context.Context, d *deployment.Deployment) (Mesh, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	group := pool.New().WithErrors()
+	mesh := Mesh{Stop: func() error {
+		cancel()
+		return group.Wait()
+	}}
+	table := naive.NewTable()
+	for range d.Placements() {
+		callers, backend, err := listen()
+		if err != nil {
+			_ = mesh.Stop()
+			return Mesh{}, err
+		}
+		mesh.Entries = append(mesh.Entries, callers.Address())
+		mesh.Backends = append(mesh.Backends, backend.Address())
+		group.Go(func() error { return naive.New(table).Serve(ctx, callers, backend) })
+	}
+	return mesh, nil
+}
+
+// listen opens the two ports of a proxy.
+func listen() (callers, backend *loopback.Listener, err error) {
+	if callers, err = loopback.Listen(); err != nil {
+		return nil, nil, err
+	}
+	if backend, err = loopback.Listen(); err != nil {
+		callers.Cut()
+		return nil, nil, err
+	}
+	return callers, backend, nil
+}
--- /dev/null
+++ b/internal/lab/figures/figures_test.go
@@ -0,0 +1,87 @@
+package figures_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/internal/lab/figures"
+	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/wire"
+	"github.com/papayapath/papayapath/pkg/importance"
+)
+
+var start = time.Date(2026, 12, 1, 0, 0, 0, 0, time.UTC)
+
+func at(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+
+var phases = figures.Phases{
+	Warm: at(0), Steady: at(2), Disturbance: at(5), Recovery: at(9), End: at(17),
+}
+
+// record makes 100 requests a second arrive, each with two runs. Those for
+// which fails returns true get no answer; the others get it after 10 ms.
+func record(fails func(arrived float64) bool) *history.History {
+	h := history.New()
+	for i := range 1700 {
+		arrived := float64(i) / 100
+		root := strconv.Itoa(i)
+		h.Send(root, importance.High)
+		for range 2 {
+			h.Start(history.Run{Identity: wire.Identity{Root: root}, Service: "s", Start: at(arrived)})
+		}
+		r := history.Request{Root: root, Service: "s", Arrived: at(arrived), Deadline: time.Second}
+		if fails(arrived) {
+			h.Refuse(history.Refusal{Root: root, Service: "s", At: at(arrived)})
+		} else {
+			r.Finished = at(arrived + 0.01)
+		}
+		h.Finish(r)
+	}
+	return h
+}
+
+var subject = figures.Subject{Deployment: "regie", Variant: "naive", Seed: 1, Limit: 200}
+
+// Guards against figures that don't follow their definition.
+func TestFigures(t *testing.T) {
+	failing := func(s float64) bool { return s >= 5 && s < 7 }
+	f := figures.New(subject, phases, record(failing))
+	require.Equal(t, 1700, f.Requests)
+	require.InDelta(t, 100, f.Before, 1)
+	require.InDelta(t, 50, f.Goodput, 1)
+	require.InDelta(t, 100, f.After, 1)
+	require.InDelta(t, 0.25, f.Share, 0.01)
+	require.InDelta(t, 2, f.Amplification, 0)
+	require.InDelta(t, 10, f.Steady.P99, 0.1)
+	require.True(t, f.Recovered)
+	require.Zero(t, f.Recovery)
+	require.InDelta(t, 0, f.Series.Goodput[60], 0)
+	require.InDelta(t, 100, f.Series.Goodput[80], 30)
+	require.InDelta(t, 100, f.Series.Refusals[importance.High][60], 30)
+	require.InDelta(t, 0, f.Series.Refusals[importance.High][80], 0)
+	require.Equal(t, []float64{5, 9}, []float64{f.Series.From, f.Series.To})
+}
+
+// Guards against a recovery that is reported although it does not last, and
+// one that is reported too early or never.
+func TestRecovery(t *testing.T) {
+	for name, c := range map[string]struct {
+		fails     func(s float64) bool
+		want      float64
+		recovered bool
+	}{
+		"at once":              {func(s float64) bool { return s >= 5 && s < 9 }, 0, true},
+		"after two seconds":    {func(s float64) bool { return s >= 5 && s < 11 }, 2, true},
+		"relapse":              {func(s float64) bool { return s >= 5 && s < 9.5 || s >= 10.2 && s < 10.8 }, 1.8, true},
+		"relapse within 5 s":   {func(s float64) bool { return s >= 5 && s < 10 || s >= 13 && s < 14 }, 8, false},
+		"never":                {func(s float64) bool { return s >= 5 }, 8, false},
+		"nothing worked ahead": {func(float64) bool { return true }, 8, false},
+	} {
+		f := figures.New(subject, phases, record(c.fails))
+		require.Equal(t, c.recovered, f.Recovered, name)
+		require.InDelta(t, c.want, f.Recovery, 0.11, name)
+	}
+}
--- a/internal/lab/load/request.go
+++ b/internal/lab/load/request.go
@@ -30,9 +30,6 @@
 	for r.sends <= r.customer.Resends {
 		r.sends++
 		fate := g.send(ctx, r)
-		if ctx.Err() != nil {
-			return
-		}
 		if fate == whole {
 			finished = time.Now()
 		}
