Add the report on experiments

Cause: figures must be readable at a glance, by programs, and over time. Change: internal/lab/report writes a table, the JSON document of section 11 with further fields, and a PNG with goodput, delays and refusals over time. Conclusion: a recovery that did not happen is shown as a lower bound.

--- /dev/null
+++ b/internal/lab/report/report_test.go
@@ -0,0 +1,68 @@
+package report_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"image/png"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/internal/lab/checker"
+	"github.com/papayapath/papayapath/internal/lab/figures"
+	"github.com/papayapath/papayapath/internal/lab/report"
+)
+
+func sample(deployment, variant string, recovered bool) figures.Figures {
+	f := figures.Figures{
+		Deployment: deployment, Variant: variant, Limit: 200, Goodput: 190, Share: 0.95,
+		Recovery: 1.5, Recovered: recovered, Amplification: 4,
+		Verdict: checker.Verdict{Duplicates: 1, Partials: 2, Foreign: 3, Falsehoods: 4, Inversions: 5},
+		Series:  figures.Series{Goodput: make([]float64, 20), P99: make([]float64, 20), From: 0.5, To: 1},
+	}
+	for i := range f.Series.Refusals {
+		f.Series.Refusals[i] = make([]float64, 20)
+	}
+	return f
+}
+
+// Guards against a document that lacks a field of section 11 of the design.
+func TestJSON(t *testing.T) {
+	var b bytes.Buffer
+	require.NoError(t, report.New([]figures.Figures{sample("regie", "naive", true)}).JSON(&b))
+	var d struct{ Runs []map[string]any }
+	require.NoError(t, json.Unmarshal(b.Bytes(), &d))
+	require.Len(t, d.Runs, 1)
+	for name, want := range map[string]any{
+		"deployment": "regie", "variant": "naive", "goodput": 190.0, "share": 0.95, "recovery": 1.5,
+		"amplification": 4.0, "duplicates": 1.0, "partials": 2.0, "falsehoods": 4.0, "inversions": 5.0,
+	} {
+		require.Equal(t, want, d.Runs[0][name], name)
+	}
+}
+
+// Guards against a table that states a lower bound as a measured recovery.
+func TestTable(t *testing.T) {
+	var b bytes.Buffer
+	require.NoError(t, report.New([]figures.Figures{
+		sample("regie", "naive", false), sample("regie", "other", true),
+	}).Table(&b))
+	require.Regexp(t, `regie +naive +0 +190 +200 +95% +not in 1\.5 s +4\.0 +1 +5 +4 +5`, b.String())
+	require.Regexp(t, `regie +other +0 +190 +200 +95% +1\.5 s`, b.String())
+}
+
+// Guards against plots that can't be drawn or lack a part: two columns of
+// deployments, and rows for goodput, delays and the refusals of each variant.
+func TestPNG(t *testing.T) {
+	size := func(all ...figures.Figures) (width, height int) {
+		var b bytes.Buffer
+		require.NoError(t, report.New(all).PNG(&b))
+		picture, err := png.Decode(&b)
+		require.NoError(t, err)
+		return picture.Bounds().Dx(), picture.Bounds().Dy()
+	}
+	width, height := size(sample("regie", "naive", true))
+	twice, more := size(sample("regie", "naive", true), sample("regie", "other", true), sample("nilegear", "naive", true))
+	require.InDelta(t, 2*width, twice, 2)
+	require.InDelta(t, 4*height/3, more, 2)
+}
