Serve requests end to end through running nodes

Cause: the first run of the whole path showed three faults: derived keys of child calls held no time of issue, so owners refused them; a batch of owner records read from another offset left a gap in the callers' tables; services that no contract lists had no owners for child calls. Change: derived keys are UUID version 7 with the time of the parent's key or request id; batches carry the offset from which they were read; every service has a guard. internal/lab/mesh runs the nodes of a deployment.

--- a/internal/lab/deployment/deployment.go
+++ b/internal/lab/deployment/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -136,7 +137,8 @@
 		}
 		for _, class := range c.Classes {
 			options = append(options, contract.WithClass(contract.NewClass(
-				class.Service, class.Method, class.Path, class.Importance, !class.Once, class.Deadline)))
+				class.Service, class.Method, class.Path, class.Importance, !class.Once, class.Deadline,
+			).WithName(strings.Trim(class.Path, "/"))))
 		}
 		all = append(all, contract.New(c.Name, options...))
 	}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -113,6 +113,11 @@
 	if err := wait(ctx, settle); err != nil {
 		return err
 	}
+	if mesh.Ready != nil {
+		if err := mesh.Ready(ctx); err != nil {
+			return err
+		}
+	}
 	waiting, cut := context.WithTimeout(ctx, e.timeline.Total()+grace)
 	defer cut()
 	arriving, enough := context.WithCancel(waiting)
--- a/internal/lab/experiment/variant.go
+++ b/internal/lab/experiment/variant.go
@@ -21,4 +21,7 @@
 	Entries  []string     // addresses of HTTP for callers
 	Backends []string     // addresses of HTTP for the backend servers, in the order of Placements
 	Stop     func() error // ends the proxies and waits for them
+	// Ready waits until the servers that announced themselves are known to
+	// all proxies. It may be nil.
+	Ready func(ctx context.Context) error
 }
--- /dev/null
+++ b/internal/lab/mesh/doc.go
@@ -0,0 +1,3 @@
+// Package mesh runs the nodes of a deployment, with the platform log, in one
+// process over loopback sockets.
+package mesh
--- /dev/null
+++ b/internal/lab/mesh/variant.go
@@ -0,0 +1,42 @@
+package mesh
+
+import (
+	"context"
+
+	"github.com/papayapath/papayapath/internal/lab/deployment"
+	"github.com/papayapath/papayapath/internal/lab/experiment"
+	"github.com/papayapath/papayapath/pkg/node"
+)
+
+// Name is the name of the variant in figures.
+const Name = "papayapath"
+
+type variant struct{}
+
+// Variant returns the variant of the experiment that runs real nodes.
+func Variant() experiment.Variant { return variant{} }
+
+// Name returns the name in the figures.
+func (variant) Name() string { return Name }
+
+// Start starts one node for each backend server, publishes the contracts and
+// waits until they are in force everywhere.
+func (variant) Start(ctx context.Context, d *deployment.Deployment) (experiment.Mesh, error) {
+	m, err := Start(ctx, len(d.Placements()))
+	if err != nil {
+		return experiment.Mesh{}, err
+	}
+	if err := m.Publish(ctx, d.Contracts()...); err != nil {
+		_ = m.Stop()
+		return experiment.Mesh{}, err
+	}
+	mesh := experiment.Mesh{Stop: m.Stop}
+	for _, r := range m.Nodes() {
+		mesh.Entries = append(mesh.Entries, r.Callers())
+		mesh.Backends = append(mesh.Backends, r.Egress())
+	}
+	mesh.Ready = func(ctx context.Context) error {
+		return m.Await(ctx, func(n *node.Node) bool { return n.Serving(len(d.Placements())) })
+	}
+	return mesh, nil
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -71,14 +71,25 @@
 	err   error
 }
 
-// Open listens on the address of self and serves other nodes until Close.
-// config needs a certificate and the authority of the other nodes' ones. It
-// returns an *OpenError if the socket can't be opened.
-func Open(self instance.ID, config *tls.Config, handler Handler) (*Link, error) {
-	udp, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(self.Address()))
+// Listen opens the socket of a link and returns it with its address, in which
+// a port 0 has been replaced by a free one. It returns an *OpenError on
+// failure.
+func Listen(address string) (*net.UDPConn, netip.AddrPort, error) {
+	wanted, err := netip.ParseAddrPort(address)
 	if err != nil {
-		return nil, &OpenError{address: self.Address().String(), cause: err}
+		return nil, netip.AddrPort{}, &OpenError{address: address, cause: err}
+	}
+	socket, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(wanted))
+	if err != nil {
+		return nil, netip.AddrPort{}, &OpenError{address: address, cause: err}
 	}
+	return socket, unmapped(socket.LocalAddr()), nil
+}
+
+// Open serves other nodes on socket until Close. config needs a certificate
+// and the authority of the other nodes' ones. It returns an *OpenError, and
+// closes the socket, if it can't be used.
+func Open(self instance.ID, socket *net.UDPConn, config *tls.Config, handler Handler) (*Link, error) {
 	config = config.Clone()
 	config.NextProtos = []string{protocol}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -89,16 +100,17 @@
 			MaxIncomingStreams: maxStreams,
 			EnableDatagrams:    true,
 		},
-		transport: &quic.Transport{Conn: udp},
+		transport: &quic.Transport{Conn: socket},
 		ctx:       ctx, cancel: cancel,
 		conns: make(map[netip.AddrPort]*connection),
 	}
-	l.listener, err = l.transport.Listen(config, l.config)
+	listener, err := l.transport.Listen(config, l.config)
 	if err != nil {
 		cancel()
-		_ = udp.Close()
+		_ = socket.Close()
 		return nil, &OpenError{address: self.Address().String(), cause: err}
 	}
+	l.listener = listener
 	l.tasks.Go(l.accept)
 	return l, nil
 }
@@ -137,7 +149,7 @@
 		if err != nil {
 			return
 		}
-		address := remote(conn)
+		address := unmapped(conn.RemoteAddr())
 		l.mu.Lock()
 		l.conns[address] = opened(conn)
 		l.mu.Unlock()
@@ -151,8 +163,9 @@
 	return c
 }
 
-func remote(conn *quic.Conn) netip.AddrPort {
-	udp, ok := conn.RemoteAddr().(*net.UDPAddr)
+// unmapped returns a UDP address in the form that instance IDs have.
+func unmapped(a net.Addr) netip.AddrPort {
+	udp, ok := a.(*net.UDPAddr)
 	if !ok {
 		return netip.AddrPort{}
 	}
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -66,13 +65,15 @@
 	return nil
 }
 
-func open(t *testing.T, a *authority.Authority, port uint16, h link.Handler) (*link.Link, instance.ID) {
+func open(t *testing.T, a *authority.Authority, h link.Handler) (*link.Link, instance.ID) {
 	t.Helper()
 	now := time.Now()
 	certificate, err := a.Issue(now, "node")
 	require.NoError(t, err)
-	id := instance.New(netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), port), 1)
-	l, err := link.Open(id, keys.New(certificate, a.Pool()).Config(), h)
+	socket, address, err := link.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	id := instance.New(address, 1)
+	l, err := link.Open(id, socket, keys.New(certificate, a.Pool()).Config(), h)
 	require.NoError(t, err)
 	t.Cleanup(l.Close)
 	return l, id
@@ -89,8 +90,8 @@
 func TestOfferCarriesWholeBodies(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	a := newAuthority(t)
-	client, _ := open(t, a, 40101, newHandler())
-	server, to := open(t, a, 40102, newHandler())
+	client, _ := open(t, a, newHandler())
+	server, to := open(t, a, newHandler())
 	defer client.Close()
 	defer server.Close()
 	var wait sync.WaitGroup
@@ -113,10 +114,10 @@
 // Guards against work that goes on after its caller has gone.
 func TestCanceledOfferCancelsTheCall(t *testing.T) {
 	a := newAuthority(t)
-	client, _ := open(t, a, 40103, newHandler())
+	client, _ := open(t, a, newHandler())
 	h := newHandler()
 	h.hold = true
-	_, to := open(t, a, 40104, h)
+	_, to := open(t, a, h)
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
 	err := client.Offer(ctx, to, &message.Offer{}, nil, &collector{})
@@ -134,9 +135,12 @@
 // handshake, and against a false "not run".
 func TestOfferToAbsentNodeWasNotSent(t *testing.T) {
 	a := newAuthority(t)
-	client, _ := open(t, a, 40105, newHandler())
-	to := instance.New(netip.MustParseAddrPort("127.0.0.1:40199"), 1)
-	err := client.Offer(t.Context(), to, &message.Offer{}, nil, &collector{})
+	client, _ := open(t, a, newHandler())
+	socket, address, err := link.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, socket.Close())
+	to := instance.New(address, 1)
+	err = client.Offer(t.Context(), to, &message.Offer{}, nil, &collector{})
 	var want *link.SendError
 	require.ErrorAs(t, err, &want)
 	require.False(t, want.Sent())
@@ -145,9 +149,9 @@
 // Guards against a stranger, whose certificate another authority signed,
 // being served.
 func TestStrangerIsRefused(t *testing.T) {
-	stranger, _ := open(t, newAuthority(t), 40106, newHandler())
+	stranger, _ := open(t, newAuthority(t), newHandler())
 	h := newHandler()
-	_, to := open(t, newAuthority(t), 40107, h)
+	_, to := open(t, newAuthority(t), h)
 	require.Error(t, stranger.Offer(t.Context(), to, &message.Offer{}, nil, &collector{}))
 	_ = stranger.Control(t.Context(), to, &message.Control{})
 	select {
@@ -160,9 +164,9 @@
 // Guards against control messages without a true sender.
 func TestControlNamesItsSender(t *testing.T) {
 	a := newAuthority(t)
-	client, from := open(t, a, 40108, newHandler())
+	client, from := open(t, a, newHandler())
 	h := newHandler()
-	_, to := open(t, a, 40109, h)
+	_, to := open(t, a, h)
 	require.NoError(t, client.Control(t.Context(), to, &message.Control{}))
 	require.Equal(t, from, <-h.control)
 }
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -62,7 +62,7 @@
 			r.pause()
 			continue
 		}
-		r.do(func(now time.Time, out *node.Output) { r.node.Follow(now, name, batch, out) })
+		r.do(func(now time.Time, out *node.Output) { r.node.Follow(now, name, from, batch, out) })
 	}
 }
 
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
-	"net/netip"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,7 +42,6 @@
 type Runtime struct {
 	settings settings.Settings
 	self     instance.ID
-	tls      *tls.Config
 	notify   func(node.Event)
 
 	link    *link.Link
@@ -94,18 +93,18 @@
 // returns an error of the settings, gateway, link or platform packages if an
 // address can't be used.
 func Start(s settings.Settings, config *tls.Config, options ...Option) (*Runtime, error) {
-	address, err := netip.ParseAddrPort(s.Peers)
+	socket, address, err := link.Listen(s.Peers)
 	if err != nil {
-		return nil, &AddressError{field: "peers", cause: err}
+		return nil, err
 	}
 	r := &Runtime{
-		settings: s, tls: config,
-		self:    instance.New(address, uint64(time.Now().UnixMilli())),
-		tracer:  trace.New("", nil),
-		notify:  func(node.Event) {},
-		sends:   make(chan message.Send, sendQueue),
-		calls:   make(map[message.CallID]*outbound),
-		inbound: make(map[attemptID]*inbound),
+		settings: s,
+		self:     instance.New(address, uint64(time.Now().UnixMilli())),
+		tracer:   trace.New("", nil),
+		notify:   func(node.Event) {},
+		sends:    make(chan message.Send, sendQueue),
+		calls:    make(map[message.CallID]*outbound),
+		inbound:  make(map[attemptID]*inbound),
 	}
 	r.outputs.New = func() any { return new(node.Output) }
 	for _, o := range options {
@@ -113,7 +112,7 @@
 	}
 	r.node = node.New(r.self, node.WithPlace(s.Region, s.Domain), node.WithRandom(newRandom(r.self)))
 	r.ctx, r.cancel = context.WithCancel(context.Background())
-	if err := r.open(); err != nil {
+	if err := r.open(socket, config); err != nil {
 		r.stop(r.ctx)
 		return nil, err
 	}
@@ -122,12 +121,12 @@
 }
 
 // open opens the sockets.
-func (r *Runtime) open() error {
+func (r *Runtime) open(socket *net.UDPConn, config *tls.Config) error {
 	var err error
-	if r.log, err = platform.New(r.settings.Log); err != nil {
+	if r.link, err = link.Open(r.self, socket, config, r); err != nil {
 		return err
 	}
-	if r.link, err = link.Open(r.self, r.tls, r); err != nil {
+	if r.log, err = platform.New(r.settings.Log); err != nil {
 		return err
 	}
 	if r.egress, err = gateway.Listen(r.settings.Backend, r, gateway.ForBackend(), r.announceRoute(), r.drainRoute()); err != nil {
--- a/pkg/dispatcher/key.go
+++ b/pkg/dispatcher/key.go
@@ -48,6 +48,10 @@
 // only on what stays the same when the parent runs again, so that a second
 // run of the parent does not run the child a second time. The parent's own
 // key and content keep apart the children of different calls of one request.
+//
+// The key's time of issue is that of the parent's key or, if it has none, of
+// the request id. Without either, owners treat the key as issued before any
+// change of their table.
 func derive(parent *message.Offer, service string, content uint64, counter int) string {
 	data := make([]byte, 0, 256)
 	data = appendText(data, parent.Root)
@@ -56,6 +60,12 @@
 	data = binary.BigEndian.AppendUint64(data, parent.Content)
 	data = binary.BigEndian.AppendUint64(data, content)
 	data = binary.BigEndian.AppendUint64(data, uint64(counter))
+	if issued, ok := message.IssueTime(parent.Key); ok {
+		return message.KeyAt(issued, data)
+	}
+	if issued, ok := message.IssueTime(parent.Root); ok {
+		return message.KeyAt(issued, data)
+	}
 	return uuid.NewSHA1(derived, data).String()
 }
 
--- a/pkg/dispatcher/request.go
+++ b/pkg/dispatcher/request.go
@@ -30,7 +30,7 @@
 	Content uint64 // xxhash64 of service, method, path and body
 
 	// Customer and Root are not used for a child of a known parent, which
-	// inherits them. An empty Root is replaced by the call id; such a call
+	// inherits them. An empty Root is replaced by a new id; such a call
 	// can't be sent again as the same request.
 	Customer string
 	Root     string
--- a/pkg/dispatcher/root.go
+++ b/pkg/dispatcher/root.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/budget"
+	"github.com/papayapath/papayapath/pkg/message"
 )
 
 // rootID names a request of a customer. Two customers may use the same id.
@@ -25,7 +26,7 @@
 // id gets an id and a budget of its own, which nothing remembers.
 func (d *Dispatcher) attachRoot(now time.Time, c *call, retries int) {
 	if c.first.Root == "" {
-		c.first.Root = c.first.Call.String()
+		c.first.Root = message.KeyAt(now, []byte(c.first.Call.String()))
 		if c.issued.IsZero() {
 			c.issued = now // no resend can carry this id, so it was issued now
 		}
--- a/pkg/message/codec_test.go
+++ b/pkg/message/codec_test.go
@@ -60,3 +60,14 @@
 		require.NoError(t, err)
 	})
 }
+
+// Guards against a key that nodes make whose time of issue owners can't read.
+func TestKeyAtHoldsItsTime(t *testing.T) {
+	issued := time.UnixMilli(1_790_000_000_123)
+	key := message.KeyAt(issued, []byte("a"))
+	got, ok := message.IssueTime(key)
+	require.True(t, ok)
+	require.True(t, issued.Equal(got))
+	require.Equal(t, key, message.KeyAt(issued, []byte("a")))
+	require.NotEqual(t, key, message.KeyAt(issued, []byte("b")))
+}
--- a/pkg/message/owner.go
+++ b/pkg/message/owner.go
@@ -1,6 +1,7 @@
 package message
 
 import (
+	"crypto/sha256"
 	"time"
 
 	"github.com/google/uuid"
@@ -11,6 +12,9 @@
 // uuidVersion is the version of UUID that holds its time of issue.
 const uuidVersion = 7
 
+// keySpace is the name space of keys that nodes make.
+var keySpace = uuid.NewSHA1(uuid.NameSpaceURL, []byte("papayapath:key"))
+
 // OwnerRecord is one record of the log stream "owners". It makes Owners the
 // owner table of Service if it was made from the table that is current when
 // the record lands in the log; otherwise it has no effect. The epoch of the
@@ -75,3 +79,14 @@
 	}
 	return time.UnixMilli(ms), true
 }
+
+// KeyAt returns the idempotency key that holds the given time of issue and is
+// otherwise a function of seed.
+func KeyAt(issued time.Time, seed []byte) string {
+	id := uuid.NewHash(sha256.New(), keySpace, seed, uuidVersion)
+	ms := issued.UnixMilli()
+	for i := range 6 {
+		id[i] = byte(ms >> (8 * (5 - i)))
+	}
+	return id.String()
+}
--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -27,9 +27,9 @@
 	}
 }
 
-// Follow takes the result of a read of a followed stream, from the offset that
+// Follow takes the result of a read of a followed stream from the offset that
 // From returned.
-func (n *Node) Follow(now time.Time, name string, b stream.Batch, out *Output) {
+func (n *Node) Follow(now time.Time, name string, from int64, b stream.Batch, out *Output) {
 	switch name {
 	case declarations.Stream:
 		n.declarations.Log(now, b)
@@ -38,7 +38,7 @@
 		n.control.follow(b)
 		n.applyMembers(now, out)
 	case OwnersStream:
-		n.owners.apply(b)
+		n.owners.apply(uint64(from), b)
 	}
 	n.reportChanges(now, out)
 }
@@ -63,7 +63,7 @@
 // when the read began.
 func (n *Node) Batch(now, started time.Time, from int64, b stream.Batch, out *Output) {
 	n.keys.read(now, started, from, b)
-	n.owners.apply(b)
+	n.owners.apply(uint64(from), b)
 	n.reportChanges(now, out)
 }
 
--- a/pkg/node/owners.go
+++ b/pkg/node/owners.go
@@ -36,17 +36,20 @@
 
 func (o *owners) heard(epoch uint64) { o.newest = max(o.newest, epoch) }
 
-// apply takes a batch of the stream. Each table gets the same batch and picks
-// the records of its own service. A batch that ends before what is known
-// belongs to a log that was replaced, or to a read that a newer one overtook.
-func (o *owners) apply(b stream.Batch) {
-	batch := ownerBatch(o.next, b)
+// apply takes a batch that was read from an offset on. Each table gets the
+// same batch and picks the records of its own service. A batch of an older
+// generation, or one that leaves out records, changes nothing.
+func (o *owners) apply(from uint64, b stream.Batch) {
 	if b.Generation < o.generation {
 		return
 	}
 	if b.Generation > o.generation {
 		o.generation, o.next = b.Generation, 0
 	}
+	if from > o.next && from > uint64(b.First) {
+		return
+	}
+	batch := ownerBatch(from, b)
 	for _, e := range batch.Entries {
 		if _, ok := o.tables[e.Record.Service]; !ok {
 			o.tables[e.Record.Service] = ownership.New(e.Record.Service)
@@ -54,10 +57,13 @@
 	}
 	for _, t := range o.tables {
 		own := batch
-		own.From = min(batch.From, t.Next())
+		own.From = min(batch.From, t.Next()) // records before it are of other services
 		t.Apply(own)
 	}
-	o.next = batch.Next
+	o.next = max(o.next, batch.Next)
+	if batch.End < o.next {
+		o.next = 0 // the log went back
+	}
 }
 
 // ownerBatch decodes the records of a read from the offset from on. Records
@@ -100,10 +106,11 @@
 	}
 }
 
-// tickOwners starts the guard once the own service needs one, and carries out
-// what it asks for.
+// tickOwners starts the guard once the own service is known, and carries out
+// what it asks for. Every service has a guard: a run elsewhere may make child
+// calls to it that no contract lists and that must not run twice.
 func (n *Node) tickOwners(now time.Time, out *Output) {
-	if n.keys.guard == nil && n.backend.present && n.guarded(n.backend.service) {
+	if n.keys.guard == nil && n.backend.present {
 		n.keys.start(now, n.backend.service, n.owning())
 	}
 	for _, e := range n.keys.tick(now) {
@@ -111,19 +118,6 @@
 	}
 }
 
-// guarded reports whether a contract in force has calls to the service that
-// must not run twice.
-func (n *Node) guarded(service string) bool {
-	for c := range n.declarations.Contracts {
-		for i := range c.Classes() {
-			if class := c.ClassAt(i); class.Service() == service && !class.Repeatable() {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 func (n *Node) perform(e guard.Effect, out *Output) {
 	switch e.Kind {
 	case guard.ReadLog:
