--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -13,8 +13,11 @@
 	// trialShare is how many even shares of calls must pass before a server
 	// that loses each comparison is tried again.
 	trialShare = 8
-	// trialInterval is the shortest time between two such trials.
+	// trialInterval is the shortest time between two such trials. It grows with
+	// the square of the calls that wait for the server.
 	trialInterval = 250 * time.Millisecond
+	// trialHalvings bounds how often good answers after failures halve both.
+	trialHalvings = 3
 	// equality is the largest ratio of two scores that count as equal. It
 	// covers the noise of the answer time.
 	equality = 1.125
@@ -151,9 +154,14 @@
 // trial reports whether a server that loses each comparison is due for a call,
 // by which its recovery is noticed.
 func (b *Balancer) trial(now time.Time, s *Server) bool {
-	return s.inFlight == 0 &&
-		now.Sub(s.picked) >= trialInterval &&
-		b.turns-s.turn >= trialShare*uint64(len(b.servers))
+	age := now.Sub(s.picked)
+	if age < trialInterval>>trialHalvings {
+		return false // the usual case
+	}
+	halvings := min(s.good, trialHalvings)
+	waiting := time.Duration(s.inFlight + 1)
+	return age >= trialInterval>>halvings*waiting*waiting &&
+		b.turns-s.turn >= trialShare>>halvings*uint64(len(b.servers))
 }
 
 func contains(servers []*Server, s *Server) bool {
--- a/pkg/balancer/observe.go
+++ b/pkg/balancer/observe.go
@@ -103,7 +103,7 @@
 		s.streak = 0
 		return
 	}
-	s.streak = 0
+	s.recover(now)
 	s.sample(now, elapsed)
 	b.mean = smooth(b.mean, elapsed, now.Sub(b.measured))
 	b.measured = now
@@ -131,8 +131,23 @@
 }
 
 func (s *Server) fail(now time.Time) {
-	s.failures = s.recentFailures(now) + 1
+	s.failures = min(s.recentFailures(now)+1, mostFailures)
+	s.failed = now
+	s.good = 0
+}
+
+// recover takes note of a good answer, which halves the weight of failures.
+func (s *Server) recover(now time.Time) {
+	s.streak = 0
+	if s.failures == 0 {
+		return
+	}
+	s.failures = s.recentFailures(now) / 2
 	s.failed = now
+	s.good++
+	if s.failures < leastFailures {
+		s.failures, s.good = 0, 0
+	}
 }
 
 func (s *Server) passOver(now time.Time) {
--- a/pkg/balancer/score.go
+++ b/pkg/balancer/score.go
@@ -5,8 +5,16 @@
 const (
 	// smoothing is the time constant of answer times.
 	smoothing = 300 * time.Millisecond
+	// renewal is the age from which an answer time says nothing any more, so
+	// that one quick answer puts a server that was slow into use again.
+	renewal = 200 * time.Millisecond
 	// failureMemory is the time in which a failure loses half of its weight.
 	failureMemory = time.Second
+	// mostFailures bounds the weight of failures, and with it the number of good
+	// answers after which they are forgotten.
+	mostFailures = 8
+	// leastFailures is the count below which failures are forgotten.
+	leastFailures = 0.2
 	// startingTime stands in for an answer time while none is known.
 	startingTime = time.Millisecond
 	// windowTime is the length of one half of the window of fastest answers.
@@ -55,7 +63,7 @@
 // smooth moves old towards sample. The step grows with the time since the
 // last sample, so that rare samples count in full.
 func smooth(old, sample, since time.Duration) time.Duration {
-	if old == 0 {
+	if old == 0 || since >= renewal {
 		return sample
 	}
 	step := float64(since) / float64(since+smoothing)
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -22,6 +22,7 @@
 
 	failures float64   // decaying count of failures
 	failed   time.Time // last change of failures
+	good     int       // good answers since the last failure, while failures count
 	streak   int       // failures to reach the server since its last answer
 	avoid    time.Time // the server is passed over until then
 
--- /dev/null
+++ b/pkg/budget/budget_test.go
@@ -0,0 +1,69 @@
+package budget_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/papayapath/papayapath/pkg/budget"
+)
+
+// Guards against a split that creates retries: whatever a tree of calls does,
+// it spends no more than the bound, even if some unused parts never return.
+func TestSplitNeverCreatesRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		bound := rapid.IntRange(0, 20).Draw(t, "bound")
+		root := budget.New(bound)
+		spent := spend(t, root, 0)
+		require.LessOrEqual(t, spent+root.Left(), bound)
+	})
+}
+
+func spend(t *rapid.T, b *budget.Budget, depth int) (spent int) {
+	for range rapid.IntRange(0, 3).Draw(t, "steps") {
+		if rapid.Bool().Draw(t, "retry") && b.Take() {
+			spent++
+		}
+		if depth == 4 {
+			continue
+		}
+		allotted := b.Allot()
+		child := budget.New(allotted)
+		spent += spend(t, child, depth+1)
+		if rapid.Bool().Draw(t, "answered") {
+			b.Return(child.Left(), allotted)
+		}
+	}
+	return spent
+}
+
+// Guards against a peer that returns more than it was given, or less than
+// nothing.
+func TestReturnIsHeldWithinAllotment(t *testing.T) {
+	for _, test := range []struct{ unused, want int }{{0, 1}, {2, 3}, {9, 3}, {-5, 1}} {
+		b := budget.New(3)
+		allotted := b.Allot()
+		require.Equal(t, 2, allotted)
+		b.Return(test.unused, allotted)
+		require.Equal(t, test.want, b.Left())
+	}
+}
+
+// Guards against a retry from an empty budget.
+func TestEmptyBudget(t *testing.T) {
+	for _, b := range []*budget.Budget{{}, budget.New(0), budget.New(-3)} {
+		require.False(t, b.Take())
+		require.Zero(t, b.Allot())
+		require.Zero(t, b.Left())
+	}
+}
+
+func BenchmarkBudget(b *testing.B) {
+	x := budget.New(3)
+	b.ReportAllocs()
+	for b.Loop() {
+		n := x.Allot()
+		x.Return(n, n)
+	}
+}
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -8,6 +8,15 @@
 	weight = 0.5
 	// shortest is the shortest time over which a rate is computed.
 	shortest = 100 * time.Millisecond
+	// settling is the time to the report after one that was not smoothed. By
+	// then the other nodes have reported the same change, so the share given
+	// first is out of date.
+	settling = 200 * time.Millisecond
+	// step is the ratio of present to reported demand that counts as a step,
+	// which is reported at once and without smoothing.
+	step = 2
+	// noise is the number of requests below which a step may be chance.
+	noise = 10
 )
 
 // meter measures the requests a second that arrive.
@@ -17,6 +26,7 @@
 	requests int       // requests in the present interval
 	smoothed float64
 	reported bool // a report was made since the node became active
+	settled  bool // the last report was smoothed
 }
 
 func (m *meter) start(now time.Time) { m.since, m.last = now, now }
@@ -30,19 +40,29 @@
 }
 
 // due reports whether it is time to report. The first report after an idle
-// time is due as soon as a rate can be computed.
+// time, or after a step, is due as soon as a rate can be computed.
 func (m *meter) due(now time.Time) bool {
 	age := now.Sub(m.since)
 	if !m.reported {
 		return m.requests > 0 && age >= shortest
 	}
-	return age >= Interval
+	if !m.settled && age >= settling {
+		return true
+	}
+	return age >= Interval || (age >= shortest && m.stepped(age))
+}
+
+// stepped reports whether far more requests have arrived than were reported.
+func (m *meter) stepped(age time.Duration) bool {
+	return float64(m.requests) > step*m.smoothed*age.Seconds()+noise
 }
 
 // read ends the interval and returns the smoothed demand.
 func (m *meter) read(now time.Time) float64 {
-	measured := float64(m.requests) / now.Sub(m.since).Seconds()
-	if m.reported {
+	age := now.Sub(m.since)
+	measured := float64(m.requests) / age.Seconds()
+	m.settled = m.reported && !m.stepped(age)
+	if m.settled {
 		m.smoothed += weight * (measured - m.smoothed)
 	} else {
 		m.smoothed = measured
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -21,6 +21,8 @@
 	// idle is how long a node without requests goes on reporting, so that the
 	// allocators learn that its demand is gone.
 	idle = 3 * Interval
+	// headroom is the time for which a node may save up its share.
+	headroom = 500 * time.Millisecond
 	// assumedNodes is the number of nodes among which the rate is split while
 	// no allocator has answered yet.
 	assumedNodes = 3
@@ -65,8 +67,8 @@
 		o(q)
 	}
 	q.meter.start(now)
-	q.bucket = rate.NewLimiter(rate.Limit(q.even()), q.localBurst(q.even()))
-	q.adjusted = now
+	q.bucket = rate.NewLimiter(0, q.part(q.even()))
+	q.adjust(now)
 	return q
 }
 
@@ -180,14 +182,21 @@
 	return q.rate / float64(n)
 }
 
-// localBurst returns the node's part of the burst: at least one request, since
-// a bucket that holds less admits nothing.
-func (q *Quota) localBurst(current float64) int {
+// part returns the node's part of the contracted burst. It is at least one
+// request, because a bucket that holds less admits nothing.
+func (q *Quota) part(current float64) int {
 	if q.rate <= 0 || q.burst <= 0 {
 		return 0
 	}
-	part := float64(q.burst) * current / q.rate
-	return max(int(math.Round(part)), 1)
+	return max(int(math.Round(float64(q.burst)*current/q.rate)), 1)
+}
+
+// localBurst returns the most requests that the node admits at once: its part
+// of the contracted burst, or what its share admits in headroom if that is
+// more, since requests reach a single node less evenly than the whole mesh.
+func (q *Quota) localBurst(current float64) int {
+	room := min(int(math.Round(current*headroom.Seconds())), q.burst)
+	return max(q.part(current), room)
 }
 
 func (q *Quota) scale(factor float64) {
