--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -65,7 +65,7 @@
 
 func (s *simulation) answered(a *message.Answer) ending {
 	return func(now time.Time, server *balancer.Server, elapsed time.Duration) {
-		s.b.Answered(now, server, elapsed, a)
+		s.b.Answered(now, server, normal, elapsed, a)
 	}
 }
 
@@ -186,7 +186,7 @@
 	b := service(2)
 	s, _ := b.Server(id(0))
 	b.Start(start, s, normal)
-	b.Answered(start, s, time.Millisecond, &message.Answer{Outcome: outcome.NotRun, Reason: outcome.Draining})
+	b.Answered(start, s, normal, time.Millisecond, &message.Answer{Outcome: outcome.NotRun, Reason: outcome.Draining})
 	for range 100 {
 		got, _ := b.Choose(start, normal, nil)
 		require.Equal(t, id(1), got.ID())
@@ -211,7 +211,7 @@
 	b := service(2)
 	s, _ := b.Server(id(0))
 	b.Start(start, s, normal)
-	b.Answered(start, s, time.Microsecond, &message.Answer{Outcome: outcome.Complete, Status: 200, Limit: 1})
+	b.Answered(start, s, normal, time.Microsecond, &message.Answer{Outcome: outcome.Complete, Status: 200, Limit: 1})
 	b.Start(start, s, normal)
 	for range 100 {
 		got, _ := b.Choose(start, normal, nil)
--- a/pkg/balancer/bench_test.go
+++ b/pkg/balancer/bench_test.go
@@ -51,5 +51,5 @@
 func choose(b *balancer.Balancer, now time.Time, answer *message.Answer) {
 	s, _ := b.Choose(now, normal, nil)
 	b.Start(now, s, normal)
-	b.Answered(now, s, time.Millisecond, answer)
+	b.Answered(now, s, normal, time.Millisecond, answer)
 }
--- a/pkg/balancer/observe.go
+++ b/pkg/balancer/observe.go
@@ -18,7 +18,8 @@
 	avoidMost = 800 * time.Millisecond
 	// avoidDoublings is the number of doublings from avoidFirst to avoidMost.
 	avoidDoublings = 3
-	// avoidFull is how long a server with a full queue is passed over.
+	// avoidFull is how long a server is passed over that refused a call above
+	// its threshold, because its queue is full.
 	avoidFull = 20 * time.Millisecond
 )
 
@@ -36,8 +37,9 @@
 	s.turn = b.turns
 }
 
-// Answered records the answer to a call that was sent elapsed ago.
-func (b *Balancer) Answered(now time.Time, s *Server, elapsed time.Duration, a *message.Answer) {
+// Answered records the answer to a call of priority p that was sent elapsed
+// ago.
+func (b *Balancer) Answered(now time.Time, s *Server, p priority.Priority, elapsed time.Duration, a *message.Answer) {
 	s.end()
 	s.progress = now
 	b.learn(now, s, a)
@@ -45,7 +47,7 @@
 	case outcome.Complete:
 		b.complete(now, s, elapsed, a.Status)
 	case outcome.NotRun:
-		s.refuse(now, a)
+		s.refuse(now, p, a)
 	default:
 		s.fail(now)
 	}
@@ -111,10 +113,12 @@
 }
 
 // refuse takes note of a refusal. Its time says nothing of the answer time.
-func (s *Server) refuse(now time.Time, a *message.Answer) {
+func (s *Server) refuse(now time.Time, p priority.Priority, a *message.Answer) {
 	switch a.Reason {
 	case outcome.Overload, outcome.Preempted:
-		s.avoid = later(s.avoid, now.Add(avoidFull))
+		if p >= a.Threshold {
+			s.avoid = later(s.avoid, now.Add(avoidFull))
+		}
 	case outcome.Draining:
 		s.draining = true
 	case outcome.Unavailable, outcome.Broken:
--- a/pkg/balancer/threshold_test.go
+++ b/pkg/balancer/threshold_test.go
@@ -16,7 +16,7 @@
 	for i := range n {
 		s, _ := b.Server(id(i))
 		b.Start(now, s, normal)
-		b.Answered(now, s, time.Millisecond, refusal(threshold))
+		b.Answered(now, s, normal, time.Millisecond, refusal(threshold))
 	}
 }
 
@@ -40,7 +40,7 @@
 
 		s, _ := b.Server(id(1))
 		b.Start(now, s, normal)
-		b.Answered(now, s, time.Millisecond, complete(normal))
+		b.Answered(now, s, normal, time.Millisecond, complete(normal))
 		got, verdict := b.Choose(now, normal+50, nil)
 		require.Equal(t, balancer.Chosen, verdict)
 		require.Equal(t, id(1), got.ID())
@@ -75,7 +75,7 @@
 			if s, verdict := b.Choose(now, p, nil); verdict == balancer.Chosen {
 				sent++
 				b.Start(now, s, p)
-				b.Answered(now.Add(2*time.Millisecond), s, 2*time.Millisecond, refusal(threshold))
+				b.Answered(now.Add(2*time.Millisecond), s, p, 2*time.Millisecond, refusal(threshold))
 			}
 		}
 		t.Logf("distance %d: %d of 3000 calls sent to %d servers in 3 s", distance, sent, servers)
@@ -90,7 +90,7 @@
 					noticed[s] = now.Sub(fallen)
 				}
 				b.Start(now, s, p)
-				b.Answered(now, s, 2*time.Millisecond, complete(0))
+				b.Answered(now, s, p, 2*time.Millisecond, complete(0))
 			}
 		}
 		require.Len(t, noticed, servers)
--- a/pkg/dispatcher/answer.go
+++ b/pkg/dispatcher/answer.go
@@ -19,7 +19,7 @@
 		return out
 	}
 	if c.server != nil {
-		c.service.Answered(now, c.server, now.Sub(c.sent), a)
+		c.service.Answered(now, c.server, c.offer.Priority, now.Sub(c.sent), a)
 	}
 	switch a.Outcome {
 	case outcome.Complete:
--- a/pkg/dispatcher/call.go
+++ b/pkg/dispatcher/call.go
@@ -23,6 +23,7 @@
 	root      *root
 	own       root // root of a request that can't be sent again
 	parent    *parent
+	run       int   // attempt of the parent that made the call
 	previous  *call // older child of the same parent
 	next      *call // younger child of the same parent
 
@@ -34,6 +35,9 @@
 	redirects int // of the current attempt
 
 	resend   bool // an earlier send of the same request may have run
+	proved   bool // no attempt of this call has run
+	passed   bool // uses the one repeated child call that is free for its parent
+	paid     bool // took one from the budget for being a repetition
 	unknown  bool // an earlier attempt may have run
 	admitted bool // took a token from the customer's quota
 
@@ -47,7 +51,8 @@
 // answer returns the refusal that ends the call without an answer of a
 // server. Its outcome is NotRun only if nothing of the request may have run.
 func (c *call) answer(o outcome.Outcome, reason outcome.Reason) *message.Answer {
-	if c.doubtful() && o == outcome.NotRun {
+	c.proved = o == outcome.NotRun && !c.unknown
+	if c.proved && c.resend || c.unknown {
 		o = outcome.Unknown
 	}
 	c.refusal = message.Answer{
@@ -59,8 +64,6 @@
 	return &c.refusal
 }
 
-func (c *call) doubtful() bool { return c.unknown || c.resend }
-
 func (c *call) attempt() int {
 	if c.offer == nil {
 		return 0
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -48,6 +48,8 @@
 // is not safe for concurrent use.
 type Dispatcher struct {
 	self      instance.ID
+	prefix    string // of the ids of requests that bring none
+	scratch   []byte
 	domain    string
 	random    *rand.Rand
 	contracts Contracts
@@ -91,6 +93,7 @@
 func New(self instance.ID, options ...Option) *Dispatcher {
 	d := &Dispatcher{
 		self:     self,
+		prefix:   self.String() + "/",
 		limit:    rootLimit,
 		calls:    map[uint64]*call{},
 		services: map[string]*balancer.Balancer{},
--- a/pkg/dispatcher/finish.go
+++ b/pkg/dispatcher/finish.go
@@ -12,9 +12,12 @@
 func (d *Dispatcher) finish(c *call, a *message.Answer, out []action.Action) []action.Action {
 	delete(d.calls, c.first.Call.Seq)
 	d.unschedule(c)
+	if c.proved {
+		c.refund()
+	}
 	if c.root != nil {
 		c.root.open--
-		c.root.ran = c.root.ran || a.Outcome != outcome.NotRun
+		c.root.ran = c.root.ran || !c.proved
 	}
 	if p := c.parent; p != nil {
 		p.dismiss(c)
--- a/pkg/dispatcher/parent.go
+++ b/pkg/dispatcher/parent.go
@@ -17,6 +17,8 @@
 	oldest   *call     // open children
 	youngest *call
 	counts   map[uint64]int // child calls by content
+	repeats  bool           // the run repeats one that may have run
+	passed   bool           // the free child call of a repeated run is in use
 	ended    bool
 }
 
@@ -62,6 +64,8 @@
 		p.attempt = o.Attempt
 		p.budget = *budget.New(o.Allotment)
 		p.counts = nil
+		p.repeats = o.Repeats()
+		p.passed = false
 		p.ended = false
 	} else if !p.deadline.IsZero() {
 		return
@@ -88,6 +92,7 @@
 
 func (p *parent) adopt(c *call) {
 	c.parent = p
+	c.run = p.attempt
 	c.previous = p.youngest
 	if p.youngest == nil {
 		p.oldest = c
--- a/pkg/dispatcher/root.go
+++ b/pkg/dispatcher/root.go
@@ -1,6 +1,7 @@
 package dispatcher
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/budget"
@@ -25,7 +26,7 @@
 // id gets an id and a budget of its own, which nothing remembers.
 func (d *Dispatcher) attachRoot(now time.Time, c *call, retries int) {
 	if c.first.Root == "" {
-		c.first.Root = c.first.Call.String()
+		c.first.Root = d.ownRoot(c.first.Call.Seq)
 		if c.issued.IsZero() {
 			c.issued = now // no resend can carry this id, so it was issued now
 		}
@@ -39,6 +40,13 @@
 	c.budget = &c.root.budget
 }
 
+// ownRoot returns the text form of a call id as the id of a request.
+func (d *Dispatcher) ownRoot(seq uint64) string {
+	d.scratch = append(d.scratch[:0], d.prefix...)
+	d.scratch = strconv.AppendUint(d.scratch, seq, 10)
+	return string(d.scratch)
+}
+
 func (d *Dispatcher) remember(now time.Time, c *call, retries int) *root {
 	id := rootID{customer: c.first.Customer, request: c.first.Root}
 	// Peek leaves the table in order of first arrival, in which it expires.
--- a/pkg/dispatcher/send.go
+++ b/pkg/dispatcher/send.go
@@ -26,14 +26,13 @@
 	epoch  uint64
 }
 
-// send places the first attempt of a call. A resend of a request that may have
-// run already takes one from the budget, like any other second run.
+// send places the first attempt of a call.
 func (d *Dispatcher) send(now time.Time, c *call) outcome.Reason {
 	t, reason := d.choose(now, c)
 	if reason != outcome.None {
 		return reason
 	}
-	if c.resend && c.first.Repeatable && !c.budget.Take() {
+	if !c.charge() {
 		return outcome.Rate
 	}
 	c.offer = &c.first
@@ -57,6 +56,9 @@
 	c.offer.Epoch = t.epoch
 	c.offer.KeyAge = c.age(now)
 	c.offer.Remaining = c.deadline.Sub(now) - transit
+	if c.unknown || c.passed || c.paid {
+		c.offer.MarkRepeat()
+	}
 	if c.server != nil {
 		c.service.Start(now, c.server, c.offer.Priority)
 	}
--- /dev/null
+++ b/pkg/message/repeat.go
@@ -0,0 +1,25 @@
+package message
+
+import "slices"
+
+// RepeatField is the header field of an offer whose run repeats, or is part of
+// a run that repeats, one that may have run before. Backend servers see it.
+const RepeatField = "Papayapath-Repeat"
+
+// Repeats reports whether the run of o is part of a repetition.
+func (o *Offer) Repeats() bool {
+	for _, f := range o.Header {
+		if f.Name == RepeatField {
+			return true
+		}
+	}
+	return false
+}
+
+// MarkRepeat marks the run of o as part of a repetition. The header is copied,
+// since other offers may share it.
+func (o *Offer) MarkRepeat() {
+	if !o.Repeats() {
+		o.Header = append(slices.Clip(o.Header), Field{Name: RepeatField, Value: "1"})
+	}
+}
