--- a/pkg/balancer/observe.go
+++ b/pkg/balancer/observe.go
@@ -18,7 +18,8 @@
 	avoidMost = 800 * time.Millisecond
 	// avoidDoublings is the number of doublings from avoidFirst to avoidMost.
 	avoidDoublings = 3
-	// avoidFull is how long a server with a full queue is passed over.
+	// avoidFull is how long a server is passed over that refused a call above
+	// its threshold, because its queue is full.
 	avoidFull = 20 * time.Millisecond
 )
 
@@ -36,8 +37,9 @@
 	s.turn = b.turns
 }
 
-// Answered records the answer to a call that was sent elapsed ago.
-func (b *Balancer) Answered(now time.Time, s *Server, elapsed time.Duration, a *message.Answer) {
+// Answered records the answer to a call of priority p that was sent elapsed
+// ago.
+func (b *Balancer) Answered(now time.Time, s *Server, p priority.Priority, elapsed time.Duration, a *message.Answer) {
 	s.end()
 	s.progress = now
 	b.learn(now, s, a)
@@ -45,7 +47,7 @@
 	case outcome.Complete:
 		b.complete(now, s, elapsed, a.Status)
 	case outcome.NotRun:
-		s.refuse(now, a)
+		s.refuse(now, p, a)
 	default:
 		s.fail(now)
 	}
@@ -103,7 +105,7 @@
 		s.streak = 0
 		return
 	}
-	s.streak = 0
+	s.recover(now)
 	s.sample(now, elapsed)
 	b.mean = smooth(b.mean, elapsed, now.Sub(b.measured))
 	b.measured = now
@@ -111,10 +113,12 @@
 }
 
 // refuse takes note of a refusal. Its time says nothing of the answer time.
-func (s *Server) refuse(now time.Time, a *message.Answer) {
+func (s *Server) refuse(now time.Time, p priority.Priority, a *message.Answer) {
 	switch a.Reason {
 	case outcome.Overload, outcome.Preempted:
-		s.avoid = later(s.avoid, now.Add(avoidFull))
+		if p >= a.Threshold {
+			s.avoid = later(s.avoid, now.Add(avoidFull))
+		}
 	case outcome.Draining:
 		s.draining = true
 	case outcome.Unavailable, outcome.Broken:
@@ -131,8 +135,23 @@
 }
 
 func (s *Server) fail(now time.Time) {
-	s.failures = s.recentFailures(now) + 1
+	s.failures = min(s.recentFailures(now)+1, mostFailures)
+	s.failed = now
+	s.good = 0
+}
+
+// recover takes note of a good answer, which halves the weight of failures.
+func (s *Server) recover(now time.Time) {
+	s.streak = 0
+	if s.failures == 0 {
+		return
+	}
+	s.failures = s.recentFailures(now) / 2
 	s.failed = now
+	s.good++
+	if s.failures < leastFailures {
+		s.failures, s.good = 0, 0
+	}
 }
 
 func (s *Server) passOver(now time.Time) {
