--- /dev/null
+++ b/internal/command/doc.go
@@ -0,0 +1,2 @@
+// Package command implements the subcommands of papayapath.
+package command
--- /dev/null
+++ b/internal/operator/doc.go
@@ -0,0 +1,3 @@
+// Package operator serves status, metrics and commands of a node to operators
+// over HTTP.
+package operator
