Carry thresholds up the call graph; add keys, status and drain

Change: answers carry the threshold that nearly all runs of their route meet further down (pkg/callgraph); callers hold it in the same way as a server's own (pkg/threshold, shared with the balancer) and refuse before they send.

--- a/cmd/papayapath/main.go
+++ b/cmd/papayapath/main.go
@@ -5,27 +5,9 @@
 package main
 
 import (
-	"context"
-	"flag"
 	"os"
-	"os/signal"
-	"syscall"
-
-	"github.com/google/subcommands"
 
 	"github.com/papayapath/papayapath/internal/command"
 )
 
-func main() { os.Exit(run()) }
-
-func run() int {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	flags := flag.NewFlagSet("papayapath", flag.ContinueOnError)
-	commander := subcommands.NewCommander(flags, "papayapath")
-	command.Register(commander)
-	if err := flags.Parse(os.Args[1:]); err != nil {
-		return int(subcommands.ExitUsageError)
-	}
-	return int(commander.Execute(ctx, command.Streams{Out: os.Stdout, Err: os.Stderr}))
-}
+func main() { os.Exit(command.Main(os.Args[1:])) }
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -30,6 +30,9 @@
 	c.Register(&version{}, "")
 	c.Register(&nodeCommand{}, "running")
 	c.Register(&demo{}, "running")
+	c.Register(&status{}, "operating")
+	c.Register(&drain{}, "operating")
+	c.Register(&keysCommand{}, "operating")
 }
 
 // streams returns the outputs that main passed to Execute.
--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -72,7 +72,7 @@
 		return s, Leaving
 	case s.suspected:
 		return s, Absent
-	case !critical(p) && !s.admits(now, p):
+	case !critical(p) && !s.threshold.Admits(now, p):
 		return s, Refused
 	}
 	return s, Chosen
@@ -86,7 +86,7 @@
 	}
 	for range probes {
 		s := b.servers[b.random.IntN(len(b.servers))]
-		if s == found.first || !s.present() || !s.settled(now) || !s.admits(now, p) || contains(tried, s) {
+		if s == found.first || !s.present() || !s.settled(now) || !s.threshold.Admits(now, p) || contains(tried, s) {
 			continue
 		}
 		if found.add(b.random, s); found.seen == 2 {
@@ -121,11 +121,11 @@
 		if !s.present() {
 			continue
 		}
-		threshold := s.effective(now)
-		floor = min(floor, threshold)
+		least := s.threshold.At(now)
+		floor = min(floor, least)
 		switch {
 		case contains(tried, s):
-		case p < threshold:
+		case p < least:
 			if insist {
 				refusing.add(b.random, s)
 			}
--- a/pkg/balancer/observe.go
+++ b/pkg/balancer/observe.go
@@ -28,8 +28,8 @@
 	if s.inFlight == 0 {
 		s.progress = now
 	}
-	if p < s.threshold {
-		s.held = now
+	if value, _ := s.threshold.Told(); p < value {
+		s.threshold.Ask(now)
 	}
 	s.inFlight++
 	s.picked = now
@@ -90,11 +90,10 @@
 	if a.Threshold == 0 && a.Limit == 0 {
 		return
 	}
-	if a.Threshold < s.threshold {
+	if value, _ := s.threshold.Told(); a.Threshold < value {
 		b.dropFloor()
 	}
-	s.threshold = a.Threshold
-	s.told, s.held = now, now
+	s.threshold.Tell(now, a.Threshold)
 	s.limit = a.Limit
 }
 
--- a/pkg/balancer/server.go
+++ b/pkg/balancer/server.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/instance"
-	"github.com/papayapath/papayapath/pkg/priority"
+	"github.com/papayapath/papayapath/pkg/threshold"
 )
 
 // Server is what one caller knows of one server of a service.
@@ -29,10 +29,8 @@
 	picked time.Time // last call given to the server
 	turn   uint64    // calls that the service had been given by then
 
-	threshold priority.Priority
-	told      time.Time // when threshold was told
-	held      time.Time // start of the decay: when told, or last call sent in spite of it
-	limit     int       // concurrency limit that was told; 0 if none
+	threshold threshold.Estimate
+	limit     int // concurrency limit that was told; 0 if none
 }
 
 // ID returns the instance of the server's node.
--- a/pkg/balancer/threshold.go
+++ b/pkg/balancer/threshold.go
@@ -7,41 +7,8 @@
 	"github.com/papayapath/papayapath/pkg/priority"
 )
 
-const (
-	// thresholdHold is the age up to which a threshold is taken as told.
-	// Servers adapt it every 50 ms, so it covers two steps.
-	thresholdHold = 100 * time.Millisecond
-	// thresholdEnd is the age from which a threshold holds back no call.
-	// Between the two it falls in a straight line, so that a trickle of calls,
-	// the most important first, finds out whether it still stands.
-	thresholdEnd = 500 * time.Millisecond
-	// floorTime is how long the result of a scan of all servers is kept.
-	floorTime = 5 * time.Millisecond
-)
-
-// effective returns the threshold after the decay by its age. It is never
-// above the threshold that was told. A call that was sent in spite of the
-// threshold starts the time again, so that one call and not all of them find
-// out.
-func (s *Server) effective(now time.Time) priority.Priority {
-	if s.threshold == 0 {
-		return 0
-	}
-	age := now.Sub(s.held)
-	switch {
-	case age <= thresholdHold:
-		return s.threshold
-	case age >= thresholdEnd:
-		return 0
-	}
-	left := float64(thresholdEnd-age) / float64(thresholdEnd-thresholdHold)
-	return priority.Priority(float64(s.threshold) * left)
-}
-
-// admits reports whether the server is expected to admit a call of priority p.
-func (s *Server) admits(now time.Time, p priority.Priority) bool {
-	return p >= s.effective(now)
-}
+// floorTime is how long the result of a scan of all servers is kept.
+const floorTime = 5 * time.Millisecond
 
 // Threshold returns the smallest threshold of all servers that take work, as
 // they were told, and the age of the oldest of these. A call below it is
@@ -52,18 +19,41 @@
 		if !s.present() {
 			continue
 		}
-		if s.told.IsZero() {
+		value, told := s.threshold.Told()
+		if told.IsZero() {
 			return 0, 0, false
 		}
-		if !ok || s.threshold < floor {
-			floor = s.threshold
+		if !ok || value < floor {
+			floor = value
 		}
-		age = max(age, now.Sub(s.told))
+		age = max(age, now.Sub(told))
 		ok = true
 	}
 	return floor, age, ok
 }
 
+// Floor returns the smallest threshold of all servers with the force that it
+// has at now, or 0 if no server takes work.
+func (b *Balancer) Floor(now time.Time) priority.Priority {
+	if !now.Before(b.floorEnd) {
+		b.keepFloor(now)
+	}
+	if b.floor == ^priority.Priority(0) {
+		return 0
+	}
+	return b.floor
+}
+
+// keepFloor stores the smallest threshold for the next calls.
+func (b *Balancer) keepFloor(now time.Time) {
+	b.floor, b.floorEnd = ^priority.Priority(0), now.Add(floorTime)
+	for _, s := range b.servers {
+		if s.present() {
+			b.floor = min(b.floor, s.threshold.At(now))
+		}
+	}
+}
+
 // refuses reports whether a recent scan found that no server admits p.
 func (b *Balancer) refuses(now time.Time, p priority.Priority) bool {
 	return p < b.floor && now.Before(b.floorEnd)
--- a/pkg/dispatcher/arrive.go
+++ b/pkg/dispatcher/arrive.go
@@ -51,6 +51,7 @@
 	}
 	c.issued = r.Issued
 	c.service = d.services[r.Service]
+	c.route = d.route(message.RouteOf(r.Service, r.Method, r.Path), r.Service)
 	c.budget = &d.nothing
 	d.calls[d.seq] = c
 	return c
--- a/pkg/dispatcher/call.go
+++ b/pkg/dispatcher/call.go
@@ -27,6 +27,7 @@
 	previous  *call // older child of the same parent
 	next      *call // younger child of the same parent
 
+	route     *route
 	service   *balancer.Balancer
 	server    *balancer.Server // of the current attempt; nil if the balancer does not know it
 	to        instance.ID
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -63,6 +63,7 @@
 	members  map[instance.ID]*balancer.Balancer
 	quotas   map[string]*quota.Quota
 	roots    *simplelru.LRU[rootID, *root]
+	routes   *simplelru.LRU[message.Route, *route]
 	parents  map[message.CallID]*parent
 	done     *simplelru.LRU[message.CallID, int]
 	nothing  budget.Budget // the budget of children without a known parent
@@ -108,6 +109,7 @@
 		d.random = rand.New(rand.NewPCG(1, 1))
 	}
 	d.roots = table[rootID, *root](d.limit)
+	d.routes = table[message.Route, *route](maxRoutes)
 	d.done = table[message.CallID, int](doneLimit)
 	return d
 }
--- a/pkg/dispatcher/send.go
+++ b/pkg/dispatcher/send.go
@@ -28,6 +28,9 @@
 
 // send places the first attempt of a call.
 func (d *Dispatcher) send(now time.Time, c *call) outcome.Reason {
+	if !c.route.admits(now, c.first.Priority) {
+		return outcome.Overload
+	}
 	t, reason := d.choose(now, c)
 	if reason != outcome.None {
 		return reason
--- a/pkg/message/call.go
+++ b/pkg/message/call.go
@@ -122,6 +122,9 @@
 	Limit     int               `cbor:"12,keyasint"` // learned concurrency limit
 	Epoch     uint64            `cbor:"13,keyasint,omitempty"`
 	Replayed  bool              `cbor:"14,keyasint,omitempty"` // the answer comes from the ledger
+	// Downstream is the threshold that the calls of nearly all runs of this
+	// route meet further down the call graph.
+	Downstream priority.Priority `cbor:"15,keyasint,omitempty"`
 }
 
 // Cancel withdraws an attempt whose answer is no longer wanted.
--- a/pkg/node/call.go
+++ b/pkg/node/call.go
@@ -7,6 +7,7 @@
 	"github.com/papayapath/papayapath/pkg/dispatcher"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/priority"
 )
 
 // Arrive takes a new call of a caller or of the own backend server and returns
@@ -17,6 +18,7 @@
 	id, out.Actions = n.dispatcher.Arrive(now, r, out.Actions)
 	if r.Parent != nil {
 		n.children[id] = r.Parent.Call
+		n.graph.Call(routeOf(r.Parent), message.RouteOf(r.Service, r.Method, r.Path))
 		out.Actions = n.acceptor.BeginChild(now, r.Parent.Call, out.Actions)
 	}
 	n.track(now, out, start)
@@ -80,13 +82,19 @@
 
 // track connects the two sides of the node: a run that starts may make child
 // calls, a run that is aborted no longer may, and a child call that ends lets
-// its parent go on. Actions from index start on are new; the loop also sees
+// its parent go on. Answers tell the thresholds that the calls of their route
+// meet further down the call graph. Actions from index start on are new; the loop also sees
 // those that it causes itself.
 func (n *Node) track(now time.Time, out *Output, start int) {
 	for i := start; i < len(out.Actions); i++ {
 		switch a := out.Actions[i]; a.Kind {
 		case action.Run:
 			n.dispatcher.ParentStart(now, a.Offer)
+			n.graph.Run(routeOf(a.Offer))
+		case action.Answer:
+			a.Answer.Downstream = n.graph.Floor(routeOf(a.Offer), func(r message.Route) priority.Priority {
+				return n.dispatcher.Floor(now, r)
+			})
 		case action.Abort:
 			n.dispatcher.ParentDone(a.Cancel.Call)
 			out.Actions = n.dispatcher.CancelChildren(now, a.Cancel.Call, out.Actions)
@@ -96,6 +104,10 @@
 	}
 }
 
+func routeOf(o *message.Offer) message.Route {
+	return message.RouteOf(o.Service, o.Method, o.Path)
+}
+
 func (n *Node) endChild(now time.Time, call message.CallID) {
 	parent, ok := n.children[call]
 	if !ok {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -7,6 +7,7 @@
 
 	"github.com/papayapath/papayapath/pkg/acceptor"
 	"github.com/papayapath/papayapath/pkg/allocator"
+	"github.com/papayapath/papayapath/pkg/callgraph"
 	"github.com/papayapath/papayapath/pkg/declarations"
 	"github.com/papayapath/papayapath/pkg/dispatcher"
 	"github.com/papayapath/papayapath/pkg/instance"
@@ -32,6 +33,7 @@
 	keys         *keyGuard
 	owners       *owners
 	children     map[message.CallID]message.CallID // child call to the run that made it
+	graph        *callgraph.Graph
 	backend      backend
 	control      control
 }
@@ -59,6 +61,7 @@
 		self:      self,
 		random:    rand.New(rand.NewPCG(1, 2)),
 		allocator: allocator.New(),
+		graph:     callgraph.New(),
 		children:  make(map[message.CallID]message.CallID),
 	}
 	for _, o := range options {
--- /dev/null
+++ b/pkg/threshold/doc.go
@@ -0,0 +1,2 @@
+// Package threshold keeps an admission threshold that another node told.
+package threshold
--- /dev/null
+++ b/pkg/threshold/estimate_test.go
@@ -0,0 +1,44 @@
+package threshold_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/pkg/threshold"
+)
+
+// Guards against a threshold that is forgotten while it stands, or one that
+// stays in force after its server stopped telling it.
+func TestEstimateLosesForceWithAge(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var e threshold.Estimate
+	require.True(t, e.Admits(start, 0))
+	e.Tell(start, 400)
+	for _, test := range []struct {
+		age   time.Duration
+		admit bool // a call of priority 200
+	}{
+		{0, false},
+		{100 * time.Millisecond, false},
+		{250 * time.Millisecond, false},
+		{310 * time.Millisecond, true},
+		{time.Second, true},
+	} {
+		require.Equal(t, test.admit, e.Admits(start.Add(test.age), 200), test.age)
+		require.True(t, e.Admits(start.Add(test.age), 400))
+	}
+}
+
+// Guards against a rush of calls that all try whether the threshold still
+// stands.
+func TestAskHaltsTheLoss(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var e threshold.Estimate
+	e.Tell(start, 400)
+	later := start.Add(400 * time.Millisecond)
+	require.True(t, e.Admits(later, 200))
+	e.Ask(later)
+	require.False(t, e.Admits(later.Add(time.Millisecond), 200))
+}
