Measure the time that nodes add to a call

Cause: the target is 0.35 ms added for 99 in 100 calls, and nothing measured it. Change: internal/lab/delay makes the same call directly and through two nodes, in turn, in one run.

--- /dev/null
+++ b/internal/lab/delay/delay.go
@@ -0,0 +1,172 @@
+package delay
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/gateway"
+	"github.com/papayapath/papayapath/internal/lab/loopback"
+	"github.com/papayapath/papayapath/internal/lab/mesh"
+	"github.com/papayapath/papayapath/pkg/contract"
+	"github.com/papayapath/papayapath/pkg/importance"
+	"github.com/papayapath/papayapath/pkg/node"
+)
+
+const (
+	service  = "echo"
+	customer = "delay"
+	// slots is more than the measurement ever uses at once.
+	slots = 64
+	// heartbeat is the time between two announcements.
+	heartbeat = 200 * time.Millisecond
+	// warm is the number of calls that are not counted.
+	warm = 500
+	// longest and digits are the range of the histograms: 10 s in µs, with
+	// three significant digits.
+	longest = 10_000_000
+	digits  = 3
+	// deadline of the measured calls.
+	deadline = 2 * time.Second
+)
+
+// Figures are the times of the same call without and with nodes on its way.
+type Figures struct {
+	Direct  *hdrhistogram.Histogram // µs
+	Through *hdrhistogram.Histogram // µs
+}
+
+// Added returns the difference of the two times at a percentile, in ms.
+func (f Figures) Added(percentile float64) float64 {
+	difference := f.Through.ValueAtQuantile(percentile) - f.Direct.ValueAtQuantile(percentile)
+	return float64(difference) / 1000
+}
+
+// Measure makes n calls to a backend server that answers at once, in turn
+// directly and through two nodes, with a pause between them.
+func Measure(ctx context.Context, n int, pause time.Duration) (Figures, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	m, err := mesh.Start(ctx, 2)
+	if err != nil {
+		return Figures{}, err
+	}
+	listener, err := loopback.Listen()
+	if err != nil {
+		return Figures{}, err
+	}
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer func() { _ = m.Stop() }()
+	defer cancel()
+	tasks.Go(func() { _ = serve(ctx, listener) })
+	tasks.Go(func() { announce(ctx, m.Nodes()[1].Egress(), listener.Address()) })
+	if err := prepare(ctx, m); err != nil {
+		return Figures{}, err
+	}
+	return compare(ctx, n, pause,
+		"http://"+listener.Address()+"/", "http://"+m.Nodes()[0].Callers()+"/"+service+"/")
+}
+
+func serve(ctx context.Context, listener *loopback.Listener) error {
+	s := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) { c.SetBodyString("ok") }}
+	stop := context.AfterFunc(ctx, func() { _ = s.Shutdown() })
+	defer stop()
+	return s.Serve(listener)
+}
+
+// announce plays the backend server towards its node.
+func announce(ctx context.Context, egress, address string) {
+	body, _ := json.Marshal(map[string]any{"service": service, "address": address, "slots": slots, "connections": slots})
+	ticker := time.NewTicker(heartbeat)
+	defer ticker.Stop()
+	for {
+		request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		request.Header.SetMethod(http.MethodPost)
+		request.SetRequestURI("http://" + egress + "/announce")
+		request.SetBody(body)
+		_ = fasthttp.DoTimeout(request, response, time.Second)
+		fasthttp.ReleaseRequest(request)
+		fasthttp.ReleaseResponse(response)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func prepare(ctx context.Context, m *mesh.Mesh) error {
+	terms := contract.New(customer,
+		contract.WithRate(1e6, 1e6), contract.WithRetries(1), contract.WithWindow(time.Minute),
+		contract.WithClass(contract.NewClass(service, "", "/", importance.Normal, true, deadline).WithName("echo")))
+	if err := m.Publish(ctx, terms); err != nil {
+		return err
+	}
+	return m.Await(ctx, func(n *node.Node) bool {
+		s := n.Status(time.Now())
+		return n.Ready() && (s.Present() || len(s.Members()) > 0)
+	})
+}
+
+// compare makes the calls. Direct and mediated ones take turns, so that both
+// meet the same state of the machine.
+func compare(ctx context.Context, n int, pause time.Duration, direct, through string) (Figures, error) {
+	f := Figures{
+		Direct:  hdrhistogram.New(1, longest, digits),
+		Through: hdrhistogram.New(1, longest, digits),
+	}
+	client := &fasthttp.Client{}
+	defer client.CloseIdleConnections()
+	for i := range n + warm {
+		for url, h := range map[string]*hdrhistogram.Histogram{direct: f.Direct, through: f.Through} {
+			elapsed, err := call(client, url)
+			if err != nil {
+				return f, err
+			}
+			if i >= warm {
+				_ = h.RecordValue(min(elapsed.Microseconds(), longest))
+			}
+		}
+		if err := wait(ctx, pause); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+func call(client *fasthttp.Client, url string) (time.Duration, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI(url)
+	request.Header.Set(gateway.HeaderCustomer, customer)
+	start := time.Now()
+	if err := client.DoTimeout(request, response, deadline); err != nil {
+		return 0, err
+	}
+	elapsed := time.Since(start)
+	if response.StatusCode() != http.StatusOK {
+		return 0, &StatusError{url: url, status: response.StatusCode()}
+	}
+	return elapsed, nil
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/lab/delay/doc.go
@@ -0,0 +1,2 @@
+// Package delay measures the time that nodes add to a call.
+package delay
