--- a/pkg/declarations/error.go
+++ b/pkg/declarations/error.go
@@ -33,13 +33,13 @@
 // Position returns the version at which the winner came into force.
 func (e *ConflictError) Position() stream.Position { return e.position }
 
-// StaleError reports a change made from a version so old that conflicts can
-// no longer be told.
+// StaleError reports a change made from a version whose conflicts can't be
+// told: one that is too old, or one that the log lacks since it was replaced.
 type StaleError struct{ base stream.Position }
 
 // Error names the version and the distance that is allowed.
 func (e *StaleError) Error() string {
-	return fmt.Sprintf("version %s, from which the change was made, is more than %d records old", e.base, horizon)
+	return fmt.Sprintf("version %s, from which the change was made, is more than %d records old or not in this log", e.base, horizon)
 }
 
 // RecordError reports a record that breaks a rule and has no effect.
--- a/pkg/declarations/gossip.go
+++ b/pkg/declarations/gossip.go
@@ -14,6 +14,7 @@
 	if len(peers) == 0 {
 		return out
 	}
+	s.start(now)
 	out = s.push(peers, out)
 	if now.Before(s.digestDue) {
 		return out
@@ -22,21 +23,30 @@
 	return append(out, s.digest(peers[s.random.IntN(len(peers))], false))
 }
 
-// Greet appends a digest for a peer to out. A node that starts greets its
-// contact points, so that it knows their versions before it serves.
-func (s *State) Greet(peer instance.ID, out []Send) []Send {
+// patience is the time that a greeted peer has to answer.
+const patience = time.Second
+
+// Greet appends a digest for a peer to out. A node that starts greets some
+// peers, so that it knows their versions before it serves.
+func (s *State) Greet(now time.Time, peer instance.ID, out []Send) []Send {
+	s.greeted[peer] = now.Add(patience)
 	return append(out, s.digest(peer, false))
 }
 
 // Receive handles a control message of a peer. Messages for others are
 // ignored.
-func (s *State) Receive(_ time.Time, from instance.ID, m message.Control, out []Send) []Send {
+func (s *State) Receive(now time.Time, from instance.ID, m message.Control, out []Send) []Send {
 	switch {
 	case m.DeclarationsDigest != nil:
-		return s.compare(from, m.DeclarationsDigest, out)
+		delete(s.greeted, from)
+		out = s.compare(now, from, m.DeclarationsDigest, out)
 	case m.DeclarationsUpdate != nil:
-		return s.update(from, m.DeclarationsUpdate, out)
+		delete(s.greeted, from)
+		out = s.update(now, from, m.DeclarationsUpdate, out)
+	default:
+		return out
 	}
+	s.start(now)
 	return out
 }
 
@@ -50,7 +60,7 @@
 		s.pushed = s.force.version
 		return out
 	}
-	update := s.difference(s.pushed)
+	update := s.difference(s.pushed, s.force.base)
 	s.pushed = s.force.version
 	for range min(s.fanout, len(peers)) {
 		to := peers[s.random.IntN(len(peers))]
@@ -69,8 +79,8 @@
 
 // compare answers a digest with an update if the peer lacks something, and
 // with a digest if this node does.
-func (s *State) compare(from instance.ID, d *message.DeclarationsDigest, out []Send) []Send {
-	s.note(d.Version)
+func (s *State) compare(now time.Time, from instance.ID, d *message.DeclarationsDigest, out []Send) []Send {
+	s.note(now, d.Version)
 	if s.force == nil || isBehind(s.force, d) {
 		if d.Version.IsZero() || d.Reply {
 			return out
@@ -85,12 +95,12 @@
 	if d.Version.After(v) {
 		// The peer follows a newer generation of the log that lacks what is
 		// in force here. It appends the snapshot that it gets by this.
-		return append(out, Send{To: from, Control: message.Control{DeclarationsUpdate: s.difference(stream.Position{})}})
+		return append(out, Send{To: from, Control: message.Control{DeclarationsUpdate: s.difference(zero, zero)}})
 	}
 	if !s.force.contains(d.Version) && !d.Reply {
 		return append(out, s.digest(from, true))
 	}
-	return append(out, Send{To: from, Control: message.Control{DeclarationsUpdate: s.difference(d.Version)}})
+	return append(out, Send{To: from, Control: message.Control{DeclarationsUpdate: s.difference(d.Version, d.Base)}})
 }
 
 // isBehind reports whether the peer's table contains all of t and more.
@@ -106,17 +116,20 @@
 	s.results = append(s.results, Result{Position: d.Version, Err: &DivergenceError{peer: from, version: d.Version}})
 }
 
-// difference returns what brings a peer from since to the version in force.
-func (s *State) difference(since stream.Position) *message.DeclarationsUpdate {
-	if !isWithinHorizon(since, s.force.version) || !s.force.contains(since) {
-		since = stream.Position{}
+// difference returns what brings a peer from since to the version in force. It
+// is the whole table where the peer's has another base, because entries of an
+// older generation that came with the base don't show in their positions.
+func (s *State) difference(since, base stream.Position) *message.DeclarationsUpdate {
+	v := s.force.version
+	if since.Generation != v.Generation || since.After(v) || !isWithinHorizon(since, v) || base != s.force.base {
+		since = zero
 	}
 	return &message.DeclarationsUpdate{Since: since, Table: s.force.since(since)}
 }
 
 // update applies an update, or asks for a larger one if it leaves a gap.
-func (s *State) update(from instance.ID, u *message.DeclarationsUpdate, out []Send) []Send {
-	s.note(u.Table.Version)
+func (s *State) update(now time.Time, from instance.ID, u *message.DeclarationsUpdate, out []Send) []Send {
+	s.note(now, u.Table.Version)
 	if !isValid(u) {
 		s.results = append(s.results, Result{Position: u.Table.Version, Err: &RecordError{reason: "update of a peer"}})
 		return out
@@ -128,16 +141,24 @@
 	if s.force != nil && !u.Table.Version.After(s.force.version) {
 		return out
 	}
-	if u.Since.After(s.Version()) {
+	if !u.Since.IsZero() && !s.extends(u) {
 		return append(out, s.digest(from, false))
 	}
-	s.install(u)
+	s.install(now, u)
 	return out
 }
 
+// extends reports whether an update in part continues what is in force.
+func (s *State) extends(u *message.DeclarationsUpdate) bool {
+	return s.force != nil && !u.Since.After(s.force.version) &&
+		u.Since.Generation == s.force.version.Generation &&
+		u.Table.Version.Generation == s.force.version.Generation &&
+		u.Table.Base == s.force.base
+}
+
 // install puts the table of an update into force, unless it lacks something
 // that is in force here.
-func (s *State) install(u *message.DeclarationsUpdate) {
+func (s *State) install(now time.Time, u *message.DeclarationsUpdate) {
 	peer := table{version: u.Table.Version, base: u.Table.Base}
 	if !peer.contains(s.Version()) {
 		return
@@ -150,8 +171,7 @@
 	if s.next != nil && s.force.contains(s.next.version) {
 		s.next = nil
 	}
-	s.promote()
-	s.start()
+	s.promote(now)
 }
 
 func isValid(u *message.DeclarationsUpdate) bool {
--- a/pkg/declarations/log.go
+++ b/pkg/declarations/log.go
@@ -27,7 +27,7 @@
 			s.record(t, r)
 		}
 	}
-	s.promote()
+	s.promote(now)
 	s.arrive(now, batch)
 }
 
@@ -75,8 +75,8 @@
 
 // promote puts the table under construction into force once nothing that this
 // node or a peer had in force is missing from it.
-func (s *State) promote() {
-	if s.next == nil || !s.next.ready || !s.next.contains(s.seen) {
+func (s *State) promote(now time.Time) {
+	if s.next == nil || !s.next.ready || !s.hasSeen(now, s.next) {
 		return
 	}
 	if s.force != nil && !s.next.contains(s.force.version) {
@@ -89,7 +89,7 @@
 // arrive notes when the end of the log was reached.
 func (s *State) arrive(now time.Time, batch stream.Batch) {
 	if s.force != nil {
-		s.note(s.force.version)
+		s.note(now, s.force.version)
 	}
 	t := s.reading()
 	if t.version.Offset+1 < batch.End {
@@ -100,7 +100,7 @@
 		s.caughtUp = now
 	}
 	if s.next == nil {
-		s.start()
+		s.start(now)
 		return
 	}
 	if s.stuckSince.IsZero() {
--- a/pkg/declarations/snapshot.go
+++ b/pkg/declarations/snapshot.go
@@ -46,7 +46,7 @@
 	if s.force == nil || !s.followed {
 		return nil, false
 	}
-	if s.rescue != nil && s.force.contains(s.rescue.Version) {
+	if s.rescue != nil && s.reading().contains(s.rescue.Version) {
 		s.rescue = nil
 	}
 	if s.rescue != nil {
@@ -61,11 +61,11 @@
 
 func (s *State) isDue(now time.Time, readers []instance.ID) bool {
 	switch {
-	case s.caughtUp.IsZero() || len(s.force.entries) == 0:
+	case s.caughtUp.IsZero():
 		return false
 	case s.isStuck():
 		return now.Sub(s.stuckSince) >= time.Duration(min(s.rank(readers), maxSteps))*step
-	case s.next != nil:
+	case s.next != nil || len(s.force.entries) == 0:
 		return false
 	case s.snapshotAt.IsZero():
 		rank := s.rank(readers)
--- a/pkg/declarations/state.go
+++ b/pkg/declarations/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/contract"
@@ -26,9 +27,10 @@
 	interval  time.Duration
 	fanout    int
 
-	force   *table // in force; nil until one is whole
-	next    *table // read from the log to take the place of force
-	seen    stream.Position
+	force   *table                    // in force; nil until one is whole
+	next    *table                    // read from the log to take the place of force
+	seen    []sighting                // newest version that any node has, of each generation
+	greeted map[instance.ID]time.Time // peers that have not told their versions, and until when to wait
 	started bool
 	results []Result
 	rescue  *message.Snapshot // table of a peer that the log's generation lacks
@@ -68,6 +70,7 @@
 	s := &State{
 		self: self, random: random,
 		retention: defaultRetention, interval: defaultInterval, fanout: defaultFanout,
+		greeted: make(map[instance.ID]time.Time),
 	}
 	for _, o := range options {
 		o(s)
@@ -111,8 +114,9 @@
 }
 
 // Ready reports whether the node has once caught up with the end of the log
-// or with a peer, and with every version that it had heard of by then. Until
-// then the node must serve nothing.
+// or with a peer, and with every version that it had heard of by then. It
+// waits for the peers that were greeted. Until then the node must serve
+// nothing.
 func (s *State) Ready() bool { return s.started }
 
 // Results returns what became of the records read since the last call.
@@ -122,6 +126,18 @@
 	return r
 }
 
+// validity is the time after which a version that was heard of, and that no
+// node has repeated, is taken to be lost with the nodes that had it. Without
+// that limit, a version lost in two replacements of the log would keep this
+// node from ever following it again.
+const validity = time.Minute
+
+// sighting is a version that some node had, and when that was last heard.
+type sighting struct {
+	version stream.Position
+	at      time.Time
+}
+
 // Result says what became of one record of the log, or of one message.
 type Result struct {
 	Position stream.Position
@@ -138,15 +154,40 @@
 }
 
 // start notes that the node has caught up, if it lags behind nobody.
-func (s *State) start() {
-	if s.force != nil && s.force.contains(s.seen) {
+func (s *State) start(now time.Time) {
+	for _, end := range s.greeted {
+		if now.Before(end) {
+			return
+		}
+	}
+	if s.force != nil && s.hasSeen(now, s.force) {
 		s.started = true
 	}
 }
 
-// note remembers the newest version that any node is known to have.
-func (s *State) note(p stream.Position) {
-	if p.After(s.seen) {
-		s.seen = p
+// hasSeen reports whether t contains every version that any node is known to
+// have.
+func (s *State) hasSeen(now time.Time, t *table) bool {
+	for _, g := range s.seen {
+		if now.Sub(g.at) < validity && !t.contains(g.version) {
+			return false
+		}
+	}
+	return true
+}
+
+// note remembers a version that some node has.
+func (s *State) note(now time.Time, p stream.Position) {
+	if p.IsZero() {
+		return
+	}
+	same := func(g sighting) bool { return g.version.Generation == p.Generation }
+	i := slices.IndexFunc(s.seen, same)
+	if i < 0 {
+		s.seen = append(s.seen, sighting{version: p, at: now})
+		return
+	}
+	if p.Compare(s.seen[i].version) >= 0 {
+		s.seen[i] = sighting{version: p, at: now}
 	}
 }
--- a/pkg/declarations/table.go
+++ b/pkg/declarations/table.go
@@ -128,7 +128,7 @@
 	if c.Base.Compare(position) >= 0 {
 		return &RecordError{reason: "made from a version that is not before it"}
 	}
-	if !isWithinHorizon(c.Base, position) {
+	if !isWithinHorizon(c.Base, position) || !t.contains(c.Base) {
 		return &StaleError{base: c.Base}
 	}
 	if err := t.conflict(id, c); err != nil {
