--- a/pkg/declarations/state_test.go
+++ b/pkg/declarations/state_test.go
@@ -142,11 +142,17 @@
 	var digest []declarations.Send
 	digest = s.Greet(start, id(2), digest)
 	fresh.Receive(start, id(1), digest[0].Control, nil)
+	unaware, later := newState(3), start.Add(2*time.Minute)
 	follow(start, fresh, log)
-	follow(start, s, log)
+	follow(later, s, log)
+	follow(start, unaware, log)
+	s.Receive(later, id(3), message.Control{DeclarationsUpdate: &message.DeclarationsUpdate{
+		Table: message.Snapshot{Version: unaware.Version()},
+	}}, nil)
 	require.False(t, fresh.Ready())
+	require.Zero(t, fresh.Version())
 	require.Equal(t, stream.At(1, 0), s.Version())
-	data, due := s.Snapshot(start.Add(time.Minute), []instance.ID{id(1)})
+	data, due := s.Snapshot(later, []instance.ID{id(1)})
 	require.True(t, due)
 	log.append(start, "late", change(t, stream.At(1, -1), "bilal", []contract.Document{terms("brest", 9)}))
 	log.append(start, "s", data)
@@ -193,3 +199,53 @@
 	follow(start, s, log)
 	require.Zero(t, testing.AllocsPerRun(100, func() { s.Contract("brest") }))
 }
+
+// Guards against a snapshot of a replaced log overwriting a newer change.
+func TestChangeBeforeBase(t *testing.T) {
+	old, log, s, fresh := newLog(), newLog(), newState(1), newState(2)
+	old.append(start, "a", change(t, stream.At(1, -1), "anna", []contract.Document{terms("brest", 7), terms("quimper", 7)}))
+	follow(start, s, old)
+	log.replace()
+	log.append(start, "b", change(t, stream.At(2, -1), "anna", []contract.Document{terms("brest", 8)}))
+	follow(start, s, log)
+	data, due := s.Snapshot(start.Add(time.Minute), []instance.ID{id(1)})
+	require.True(t, due)
+	log.append(start, "s", data)
+	follow(start, fresh, log)
+	require.Equal(t, []int{8, 7}, []int{rateOf(fresh, "brest"), rateOf(fresh, "quimper")})
+}
+
+// Guards against a start from a snapshot where records after it were trimmed.
+func TestSnapshotBeforeTrimmedRecords(t *testing.T) {
+	log, s := newLog(), newState(1)
+	log.append(start, "a", change(t, stream.At(1, -1), "anna", []contract.Document{terms("brest", 7)}))
+	follow(start, s, log)
+	data, due := s.Snapshot(start, []instance.ID{id(1)})
+	require.True(t, due)
+	log.append(start, "b", change(t, stream.At(1, 0), "anna", []contract.Document{terms("brest", 8)}))
+	log.trim(start.Add(retention))
+	log.append(start, "s", data)
+	late := newState(2)
+	follow(start, late, log)
+	require.False(t, late.Ready())
+	require.Zero(t, rateOf(late, "brest"))
+}
+
+// Guards against a node that takes a part of the contracts for all of them.
+func TestUpdateWithGap(t *testing.T) {
+	log, s, behind := newLog(), newState(1), newState(2)
+	follow(start, behind, log)
+	peers := []instance.ID{id(2)}
+	for n := range 3 {
+		log.append(start, "a", change(t, stream.At(1, int64(n)-1), "anna", []contract.Document{terms(names[n], n+1)}))
+		follow(start, s, log)
+		sends := s.Tick(start, peers, nil)
+		if n < 2 {
+			continue // these messages get lost
+		}
+		answers := behind.Receive(start, id(1), sends[0].Control, nil)
+		require.Equal(t, stream.At(1, -1), behind.Version())
+		exchange(start, map[instance.ID]*declarations.State{id(1): s, id(2): behind}, id(2), answers)
+	}
+	require.Equal(t, []int{1, 2, 3}, []int{rateOf(behind, "brest"), rateOf(behind, "quimper"), rateOf(behind, "vannes")})
+}
--- a/pkg/membership/apply.go
+++ b/pkg/membership/apply.go
@@ -17,7 +17,7 @@
 		return false
 	}
 	if r.ID.Address() == m.self.ID.Address() {
-		m.refute(r)
+		m.refute(now, r)
 		return false
 	}
 	old := m.table.members[r.ID.Address()]
@@ -33,7 +33,7 @@
 }
 
 // refute contradicts a report that this node is suspected or dead.
-func (m *Membership) refute(r message.Member) {
+func (m *Membership) refute(now time.Time, r message.Member) {
 	if r.ID != m.self.ID || r.Revision < m.self.Revision || m.self.State == message.Left {
 		return
 	}
@@ -41,7 +41,7 @@
 		return
 	}
 	m.self.Revision = r.Revision + 1
-	m.rumors.add(m.own(false), true)
+	m.rumors.add(now, m.own(false), true)
 }
 
 // find adds a member at an unused address. A report without facts is of no
@@ -133,7 +133,7 @@
 	r.State = message.Suspected
 	m.apply(now, r)
 	r.Facts = nil
-	m.rumors.add(r, true)
+	m.rumors.add(now, r, true)
 	// The suspected member is told first, so that it can refute in time.
 	return append(out, Send{To: id, Control: message.Control{MemberUpdate: &message.MemberUpdate{Members: []message.Member{r}}}})
 }
@@ -147,7 +147,7 @@
 		r := m.table.report(address, true)
 		r.State = message.Dead
 		m.apply(now, r)
-		m.rumors.add(m.table.report(address, false), true)
+		m.rumors.add(now, m.table.report(address, false), true)
 	}
 }
 
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -59,7 +59,7 @@
 func (m *Membership) hear(now time.Time, reports []message.Member) {
 	for _, r := range reports {
 		if m.apply(now, r) {
-			m.rumors.add(m.table.report(r.ID.Address(), r.Facts != nil), true)
+			m.rumors.add(now, m.table.report(r.ID.Address(), r.Facts != nil), true)
 		}
 	}
 }
@@ -70,12 +70,12 @@
 	for _, a := range actions {
 		switch a.Kind {
 		case detector.Probe:
-			out = append(out, m.probe(a.To, a.Seq))
+			out = append(out, m.probe(now, a.To, a.Seq))
 		case detector.Ack:
-			ack := &message.Ack{Seq: a.Seq, Target: a.Target, Members: m.carry(a.To)}
+			ack := &message.Ack{Seq: a.Seq, Target: a.Target, Members: m.carry(now, a.To)}
 			out = append(out, Send{To: a.To, Control: message.Control{Ack: ack}})
 		case detector.Request:
-			request := &message.ProbeRequest{Seq: a.Seq, Target: a.Target, Members: m.carry(a.To)}
+			request := &message.ProbeRequest{Seq: a.Seq, Target: a.Target, Members: m.carry(now, a.To)}
 			out = append(out, Send{To: a.To, Control: message.Control{ProbeRequest: request}})
 		case detector.Fail:
 			out = m.suspect(now, a.Target, out)
@@ -84,16 +84,16 @@
 	return out
 }
 
-func (m *Membership) probe(to instance.ID, seq uint64) Send {
-	p := &message.Probe{Seq: seq, Target: to, Members: m.carry(to)}
+func (m *Membership) probe(now time.Time, to instance.ID, seq uint64) Send {
+	p := &message.Probe{Seq: seq, Target: to, Members: m.carry(now, to)}
 	return Send{To: to, Control: message.Control{Probe: p}}
 }
 
 // carry returns the reports that go along with a message to a node. One that
 // is not known as a member also learns of this node and, if it was taken for
 // dead, of that, so that it can refute.
-func (m *Membership) carry(to instance.ID) []message.Member {
-	members := m.rumors.pick(len(m.detector.Targets()) + 1)
+func (m *Membership) carry(now time.Time, to instance.ID) []message.Member {
+	members := m.rumors.pick(now, len(m.detector.Targets())+1)
 	if m.isPeer(to) {
 		return members
 	}
@@ -123,8 +123,8 @@
 }
 
 // announce spreads a change of this node itself.
-func (m *Membership) announce(out []Send) []Send {
-	m.rumors.add(m.own(false), true)
+func (m *Membership) announce(now time.Time, out []Send) []Send {
+	m.rumors.add(now, m.own(false), true)
 	return m.push(out)
 }
 
@@ -135,7 +135,7 @@
 	}
 	m.searchDue = now.Add(m.search)
 	if address, ok := m.missing(); ok {
-		out = append(out, m.probe(instance.New(address, 0), 0))
+		out = append(out, m.probe(now, instance.New(address, 0), 0))
 	}
 	return out
 }
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -118,19 +118,19 @@
 }
 
 // Drain spreads that the node takes no new work.
-func (m *Membership) Drain(_ time.Time, out []Send) []Send {
+func (m *Membership) Drain(now time.Time, out []Send) []Send {
 	if m.self.Draining {
 		return out
 	}
 	m.self.Draining = true
 	m.self.Revision++
-	return m.announce(out)
+	return m.announce(now, out)
 }
 
 // Leave spreads that the node is gone. Its Membership answers probes no more.
-func (m *Membership) Leave(_ time.Time, out []Send) []Send {
+func (m *Membership) Leave(now time.Time, out []Send) []Send {
 	m.self.State = message.Left
-	return m.announce(out)
+	return m.announce(now, out)
 }
 
 // Log applies records of the stream members. A record that can't be read is
@@ -146,7 +146,7 @@
 			report.State = message.Left
 		}
 		if m.apply(now, report) {
-			m.rumors.add(m.table.report(e.ID.Address(), !e.Left), false)
+			m.rumors.add(now, m.table.report(e.ID.Address(), !e.Left), false)
 		}
 	}
 }
--- a/pkg/membership/rumors.go
+++ b/pkg/membership/rumors.go
@@ -1,9 +1,11 @@
 package membership
 
 import (
+	"container/list"
 	"math/bits"
 	"net/netip"
 	"slices"
+	"time"
 
 	"github.com/papayapath/papayapath/pkg/message"
 )
@@ -16,65 +18,79 @@
 	// spread is the number of times that a report is passed on for each
 	// doubling of the number of members.
 	spread = 2
+	// lifetime is the time for which a report is passed on. Sending it at once
+	// reaches nearly all members within a second, and digests the rest.
+	lifetime = 5 * time.Second
 )
 
 // rumors are reports that are passed on for a while.
 type rumors struct {
-	reports map[netip.AddrPort]*rumor
-	fresh   []netip.AddrPort // to be sent at once
+	queue  *list.List // of *rumor; new ones come first
+	places map[netip.AddrPort]*list.Element
+	fresh  []netip.AddrPort // to be sent at once
 }
 
 type rumor struct {
 	report message.Member
 	sent   int
+	end    time.Time
 }
 
-func newRumors() rumors { return rumors{reports: make(map[netip.AddrPort]*rumor)} }
+func newRumors() rumors {
+	return rumors{queue: list.New(), places: make(map[netip.AddrPort]*list.Element)}
+}
 
 // add passes on a report in place of an older one on the same address. An
 // urgent one is also sent to some members at once.
-func (r *rumors) add(report message.Member, urgent bool) {
+func (r *rumors) add(now time.Time, report message.Member, urgent bool) {
 	address := report.ID.Address()
-	if old := r.reports[address]; old != nil && report.Facts == nil && old.report.ID == report.ID {
-		// The receivers may not have seen the facts yet.
-		report.Facts = old.report.Facts
+	if old := r.find(address); old != nil {
+		if report.Facts == nil && old.report.ID == report.ID {
+			// The receivers may not have seen the facts yet.
+			report.Facts = old.report.Facts
+		}
+		r.drop(address)
 	}
-	r.reports[address] = &rumor{report: report}
+	r.places[address] = r.queue.PushFront(&rumor{report: report, end: now.Add(lifetime)})
 	if urgent && !slices.Contains(r.fresh, address) {
 		r.fresh = append(r.fresh, address)
 	}
 }
 
-// pick returns the reports that were passed on least often, and counts them as
-// passed on. Members is the number of members in the table.
-func (r *rumors) pick(members int) []message.Member {
-	if len(r.reports) == 0 {
-		return nil
-	}
-	picked := make([]*rumor, 0, len(r.reports))
-	for _, u := range r.reports {
-		picked = append(picked, u)
+func (r *rumors) find(address netip.AddrPort) *rumor {
+	if place := r.places[address]; place != nil {
+		return place.Value.(*rumor)
 	}
-	slices.SortFunc(picked, func(a, b *rumor) int {
-		if a.sent != b.sent {
-			return a.sent - b.sent
-		}
-		return a.report.ID.Compare(b.report.ID)
-	})
-	picked = picked[:min(len(picked), maxPiggyback)]
-	reports := make([]message.Member, len(picked))
-	for i, u := range picked {
-		reports[i] = u.report
-		r.count(u, members)
-	}
-	return reports
+	return nil
 }
 
-func (r *rumors) count(u *rumor, members int) {
-	u.sent++
-	if u.sent >= spread*bits.Len(uint(members)) {
-		delete(r.reports, u.report.ID.Address())
+func (r *rumors) drop(address netip.AddrPort) {
+	r.queue.Remove(r.places[address])
+	delete(r.places, address)
+}
+
+// pick returns the reports that were not passed on for the longest time, and
+// counts them as passed on. Members is the number of members in the table.
+func (r *rumors) pick(now time.Time, members int) []message.Member {
+	var reports []message.Member
+	for range r.queue.Len() {
+		if len(reports) == maxPiggyback {
+			break
+		}
+		place := r.queue.Front()
+		u := place.Value.(*rumor)
+		if !now.Before(u.end) {
+			r.drop(u.report.ID.Address())
+			continue
+		}
+		reports = append(reports, u.report)
+		r.queue.MoveToBack(place)
+		u.sent++
+		if u.sent >= spread*bits.Len(uint(members)) {
+			r.drop(u.report.ID.Address())
+		}
 	}
+	return reports
 }
 
 // take returns the reports that are to be sent at once, in parts that fit into
@@ -85,7 +101,7 @@
 	}
 	reports := make([]message.Member, 0, len(r.fresh))
 	for _, address := range r.fresh {
-		if u := r.reports[address]; u != nil {
+		if u := r.find(address); u != nil {
 			reports = append(reports, u.report)
 		}
 	}
