--- a/pkg/node/control.go
+++ b/pkg/node/control.go
@@ -170,7 +170,7 @@
 // suspects if it serves the own service.
 func (n *Node) welcome(now time.Time, c membership.Change, out *Output) {
 	if !n.declarations.Ready() {
-		out.Sends = n.declarations.Greet(c.ID, out.Sends)
+		out.Sends = n.declarations.Greet(now, c.ID, out.Sends)
 	}
 	if !slices.Contains(c.Facts.Services, n.backend.service) {
 		return
