Spread calls over equal servers and close gaps that deliberate faults showed

Cause: servers of equal score were always compared to the advantage of the one that joined first. Of 26 faults put into the code one by one, the tests missed seven: an answer to another attempt at the same server, the missing withdrawal of a hung attempt, a silent server, a second call in spite of a threshold, the charge of a refused resend, a refusal below the threshold that counts as a full queue, and a finished parent run that is not marked as ended. Change: chance decides between equal scores.

--- a/pkg/balancer/choose.go
+++ b/pkg/balancer/choose.go
@@ -199,10 +199,24 @@
 	if y < x {
 		low, high, x, y = high, low, y, x
 	}
-	if high.near && !low.near && y <= x*equality {
-		return high
+	if y > x*equality {
+		return low
 	}
-	return low
+	return b.equal(low, high)
+}
+
+// equal chooses between servers of equal score: the one in the own failure
+// domain, otherwise at random, so that callers do not all prefer the same one.
+func (b *Balancer) equal(first, second *Server) *Server {
+	switch {
+	case first.near != second.near && first.near:
+		return first
+	case first.near != second.near:
+		return second
+	case b.random.IntN(2) == 0:
+		return first
+	}
+	return second
 }
 
 // trial reports whether a server that loses each comparison is due for a call,
--- a/pkg/balancer/threshold_test.go
+++ b/pkg/balancer/threshold_test.go
@@ -112,3 +112,21 @@
 	_, verdict = b.Choose(now.Add(time.Millisecond), normal, nil)
 	require.Equal(t, balancer.Refused, verdict)
 }
+
+// Guards against a server that is passed over for all calls because it refused
+// one below its threshold; one that refused for a full queue is.
+func TestOnlyFullServerIsPassedOver(t *testing.T) {
+	for _, full := range []bool{false, true} {
+		b := service(2)
+		refuse(start, b, 1, normal+1)
+		if full {
+			refuse(start, b, 1, normal)
+		}
+		chosen := map[*balancer.Server]bool{}
+		for range 100 {
+			s, _ := b.Choose(start, normal+50, nil)
+			chosen[s] = true
+		}
+		require.Equal(t, full, len(chosen) == 1)
+	}
+}
--- a/pkg/dispatcher/parent.go
+++ b/pkg/dispatcher/parent.go
@@ -41,6 +41,9 @@
 	return unused
 }
 
+// Parents returns the number of runs that have not ended or have open children.
+func (d *Dispatcher) Parents() int { return len(d.parents) }
+
 // parentOf returns the record of the run that makes a child call. A newer
 // attempt starts again with its own allotment; one that has ended, or an older
 // attempt, has no budget, since its allotment may be spent already.
