--- /dev/null
+++ b/internal/runtime/error.go
@@ -0,0 +1,13 @@
+package runtime
+
+import "fmt"
+
+// CutError reports calls that were cut because they did not end within the
+// time for a stop.
+type CutError struct{ open int }
+
+// Error gives the number of calls.
+func (e *CutError) Error() string { return fmt.Sprintf("stop: %d calls were cut", e.open) }
+
+// Open returns the number of calls that were cut.
+func (e *CutError) Open() int { return e.open }
