Test a cut of the limit with as few runs as the scatter allows

Cause: a cut that checks whether calls had queued took 32 runs or more. A server of four slots, slowed by four, spent seconds at half its limit. Change: a cut is as shallow, and its check as short, as the scatter of the run times allows.

--- a/pkg/limiter/adapt.go
+++ b/pkg/limiter/adapt.go
@@ -12,6 +12,9 @@
 	maxServed = 256
 	// firstServed is the least number of runs while the limit doubles.
 	firstServed = 8
+	// leastServed is the least number of runs after a cut. The standard error
+	// of so few is uncertain, so they need more evidence.
+	leastServed = 4
 	// longestWindow ends a window of a server with little work.
 	longestWindow = time.Second
 	// limitedShare is the part of a window for which the limit has to be in
@@ -90,6 +93,9 @@
 
 // needed returns how many runs a window needs.
 func (l *Limiter) needed() int {
+	if l.cut.open {
+		return leastServed
+	}
 	if l.limit < l.target && !l.cut.open {
 		return min(max(int(l.limit), firstServed), maxServed)
 	}
@@ -99,11 +105,11 @@
 // conclusive reports whether the window tells queueing from a slower service,
 // if that is the question.
 func (l *Limiter) conclusive(w *window, run estimate) bool {
-	if !l.cut.open || w.served >= patience*l.needed() {
+	if !l.cut.open || w.served >= patience*min(max(int(2*l.limit), minServed), maxServed) {
 		return true
 	}
 	z := run.above(l.cut.split(w.mean()), l.cut.run)
-	return math.Abs(z) >= evidence
+	return math.Abs(z) >= evidence*(1+leastServed/float64(w.served))
 }
 
 // split returns the ratio of the run time after the cut to that before which
@@ -128,9 +134,9 @@
 	case l.cut.open:
 		l.verify(now, run, mean, limited)
 	case run.above(l.tolerance, l.best) > l.doubt() && mean >= deepest*l.limit:
-		l.lower(now, l.knee(run, mean), run, mean, false)
+		l.lower(now, max(l.knee(run, mean), w.shallow(run)), run, mean, false)
 	case limited && !now.Before(l.check):
-		l.lower(now, probeCut, run, mean, true)
+		l.lower(now, max(probeCut, w.shallow(run)), run, mean, true)
 	default:
 		l.follow(run, limited)
 	}
--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -87,6 +87,15 @@
 	return estimate{mean: mean, variance: variance / n}
 }
 
+// shallow returns the ratio of the smallest cut that shows whether calls queue
+// within a few runs. It depends on the scatter of the run times.
+func (w *window) shallow(run estimate) float64 {
+	n := float64(max(w.served, 1))
+	scatter := math.Sqrt(run.variance*n) / run.mean
+	d := testEvidence * scatter * math.Sqrt(1/testServed+1/n)
+	return min((1-d)/(1+d), testCut)
+}
+
 // estimate is a mean run time in seconds and the variance of that mean.
 type estimate struct{ mean, variance float64 }
 
@@ -113,5 +122,14 @@
 	return e.variance / (e.variance + o.variance)
 }
 
+const (
+	// testServed is the number of runs by which a cut should be conclusive,
+	// and testEvidence the number of standard errors that it takes.
+	testServed   = 8.0
+	testEvidence = 2.25
+	// testCut is the smallest cut, as a ratio, that tells anything.
+	testCut = 0.8
+)
+
 // minDeviation, a nanosecond, avoids a division by zero for constant run times.
 const minDeviation = 1e-9
