--- a/pkg/acceptor/run.go
+++ b/pkg/acceptor/run.go
@@ -191,8 +191,10 @@
 	switch {
 	case answer.Outcome == outcome.Complete && answer.Status == statusUnavailable:
 		return limiter.Shed
-	case answer.Outcome == outcome.Complete || answer.Reason == outcome.Expired:
+	case answer.Outcome == outcome.Complete:
 		return limiter.Served
+	case answer.Reason == outcome.Expired:
+		return limiter.Late
 	default:
 		return limiter.Aborted
 	}
@@ -200,7 +202,7 @@
 
 func abortResult(reason outcome.Reason) limiter.Result {
 	if reason == outcome.Expired {
-		return limiter.Served
+		return limiter.Late
 	}
 	return limiter.Aborted
 }
--- a/pkg/limiter/adapt.go
+++ b/pkg/limiter/adapt.go
@@ -54,6 +54,10 @@
 	// spare is the part of the way from queueing to idleness that a run time
 	// has to have gone for that.
 	spare = 0.25
+	// lateShare is the part of runs whose time was up that lowers the limit
+	// whatever the best run time is. It stops a best run time that was taken
+	// while calls queued from letting more and more of them in.
+	lateShare = 0.2
 	// shedShare is the part of runs refused by the backend server itself
 	// that lowers the limit, and shedCut by how much.
 	shedShare = 0.02
@@ -78,7 +82,7 @@
 		return
 	}
 	run := w.run()
-	ended := w.served + w.shed
+	ended := w.ended()
 	late := w.elapsed() >= max(longestWindow.Seconds(), patience*l.best.mean)
 	switch {
 	case ended >= l.needed() && w.elapsed() >= run.mean && l.conclusive(w, run):
@@ -124,12 +128,16 @@
 // judge changes the limit according to the window.
 func (l *Limiter) judge(now time.Time, w *window, run estimate) {
 	mean, limited := w.mean(), w.limited()
-	if l.best.mean == 0 {
+	if l.best.mean == 0 && w.served > 0 {
 		l.best = run
 	}
 	before := l.limit
 	switch {
-	case float64(w.shed) > shedShare*float64(w.shed+w.served):
+	case float64(w.late) > lateShare*float64(w.ended()):
+		l.cut = cut{}
+		l.set(min(l.limit, mean*deepest))
+		l.target = l.limit
+	case float64(w.shed) > shedShare*float64(w.ended()):
 		l.shrink(w, mean)
 	case l.cut.open:
 		l.verify(now, run, mean, limited)
--- a/pkg/limiter/limiter.go
+++ b/pkg/limiter/limiter.go
@@ -15,7 +15,7 @@
 	defaultTolerance = 2
 	// defaultProbe is the time between two checks of the best run time while
 	// the limit is in use.
-	defaultProbe = 3 * time.Second
+	defaultProbe = 10 * time.Second
 )
 
 // Result says how a run ended, as far as the limit is concerned.
@@ -23,7 +23,8 @@
 
 // Results of a run.
 const (
-	Served  Result = iota // the backend server answered, or its time was up
+	Served  Result = iota // the backend server answered
+	Late                  // its time was up before the backend server answered
 	Shed                  // the backend server refused the run by itself
 	Aborted               // the run was ended from outside
 )
--- a/pkg/limiter/window.go
+++ b/pkg/limiter/window.go
@@ -19,6 +19,7 @@
 	square float64       // sum of their squares
 	served int
 	shed   int
+	late   int
 }
 
 // reset starts a new window, which opens at the time wait after the runs have
@@ -64,9 +65,14 @@
 		w.square += d.Seconds() * d.Seconds()
 	case result == Shed:
 		w.shed++
+	case result == Late:
+		w.late++
 	}
 }
 
+// ended returns the number of runs that ended by themselves or were late.
+func (w *window) ended() int { return w.served + w.shed + w.late }
+
 // elapsed returns the length of the window in seconds.
 func (w *window) elapsed() float64 { return w.last.Sub(w.start).Seconds() }
 
@@ -128,7 +134,7 @@
 	testServed   = 8.0
 	testEvidence = 2.25
 	// testCut is the smallest cut, as a ratio, that tells anything.
-	testCut = 0.8
+	testCut = 0.7
 )
 
 // minDeviation, a nanosecond, avoids a division by zero for constant run times.
