--- a/pkg/acceptor/sim_test.go
+++ b/pkg/acceptor/sim_test.go
@@ -72,13 +72,11 @@
 	offered   [4]int
 	inverted  int
 	lastLower time.Duration
-	tries     int // resends of a refused call
 	runTime   float64
 	runs      int
 	early     bool // callers refuse calls below the last threshold they have seen
 	seen      priority.Priority
 	seenAt    time.Duration
-	held      int
 	countFrom time.Duration
 }
 
@@ -86,7 +84,6 @@
 	offer *message.Offer
 	begun time.Duration
 	ran   time.Duration
-	tries int
 	ended bool
 }
 
@@ -136,21 +133,20 @@
 		if s.now >= s.countFrom {
 			s.offered[level]++
 		}
-		s.offer(priority.Lowest(level)|priority.Priority(s.rng.IntN(priority.Steps)), s.now, s.tries)
+		s.offer(priority.Lowest(level)|priority.Priority(s.rng.IntN(priority.Steps)), s.now)
 		s.arrive()
 	})
 }
 
-func (s *sim) offer(p priority.Priority, begun time.Duration, tries int) {
+func (s *sim) offer(p priority.Priority, begun time.Duration) {
 	if s.early && p < s.seen && s.now-s.seenAt < 100*time.Millisecond {
-		s.held++
 		s.refuse(p.Level())
 		return
 	}
 	s.seq++
 	o := offerOf(s.seq, p.Level())
 	o.Priority, o.Remaining = p, begun+s.deadline-s.now
-	s.calls[s.seq] = &simCall{offer: o, begun: begun, tries: tries}
+	s.calls[s.seq] = &simCall{offer: o, begun: begun}
 	s.act(s.a.Offer(s.clock(), peer, o, s.out[:0]))
 }
 
@@ -187,10 +183,6 @@
 	case a.Reason == outcome.Overload && level == importance.Critical && s.now-s.lastLower < bucket && s.now >= s.countFrom:
 		s.inverted++
 	}
-	if a.Outcome == outcome.NotRun && c.tries > 0 {
-		s.after(10*time.Millisecond, func() { s.offer(c.offer.Priority, c.begun, c.tries-1) })
-		return
-	}
 	s.refuse(level)
 }
 
