End message storms between nodes and carry crashes on retries

Cause: the publish scenario never ended. A restarted node found its older incarnation at its own address and answered its own digests without end; two nodes that don't count each other as members would do the same. The crashing request reached a fourth server, whose node had not yet heard of the suspicion. Change: membership ignores its own address and answers a digest only once; an offer carries the crashes of earlier attempts.

--- a/pkg/dispatcher/answer.go
+++ b/pkg/dispatcher/answer.go
@@ -97,6 +97,9 @@
 func (d *Dispatcher) retry(now time.Time, c *call, reason outcome.Reason, out []action.Action) []action.Action {
 	c.unknown = true
 	c.allotment = 0
+	if reason == outcome.Crashed {
+		c.crashes++
+	}
 	t, ok := d.second(now, c)
 	if !ok || !c.budget.Take() {
 		return d.finish(c, c.answer(outcome.Unknown, reason), out)
--- a/pkg/dispatcher/call.go
+++ b/pkg/dispatcher/call.go
@@ -34,6 +34,7 @@
 	tried     [maxRedirects + 2]*balancer.Server
 	tries     int // entries of tried
 	redirects int // of the current attempt
+	crashes   int // attempts at which the backend server crashed
 
 	resend   bool // an earlier send of the same request may have run
 	proved   bool // no attempt of this call has run
--- a/pkg/dispatcher/send.go
+++ b/pkg/dispatcher/send.go
@@ -57,6 +57,7 @@
 	c.offer.Attempt = attempt
 	c.offer.Allotment = c.allotment
 	c.offer.Epoch = t.epoch
+	c.offer.Crashes = c.crashes
 	c.offer.KeyAge = c.age(now)
 	c.offer.Remaining = c.deadline.Sub(now) - transit
 	if c.unknown || c.passed || c.paid {
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -34,7 +34,9 @@
 // Receive handles a control message of a peer. Messages for others are
 // ignored.
 func (m *Membership) Receive(now time.Time, from instance.ID, c message.Control, out []Send) []Send {
-	if !m.joined || m.self.State == message.Left {
+	if !m.joined || m.self.State == message.Left || from.Address() == m.self.ID.Address() {
+		// After a restart the node searches for its older incarnation at its
+		// own address, and would answer itself without end.
 		return out
 	}
 	known := m.isPeer(from)
@@ -47,9 +49,11 @@
 	case c.MemberUpdate != nil && c.MemberUpdate.More:
 		out = append(out, m.digest(from, false))
 	}
-	if !known {
-		// The digest brings the facts of a node that is not known yet, and
-		// the members that only it may know.
+	if !known && c.MemberDigest == nil {
+		// The digest brings the facts of a node that is not known yet, and the
+		// members that only it may know. It does not answer another digest:
+		// two nodes that don't count each other as members would exchange
+		// digests without end.
 		out = append(out, m.digest(from, false))
 	}
 	return m.push(out)
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -1,6 +1,8 @@
 package membership_test
 
 import (
+	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -228,3 +230,31 @@
 		v.Tick(start, nil)
 	})
 }
+
+// Guards against a node that answers itself without end after a restart, when
+// it searches for its older incarnation at its own address.
+func TestOwnMessagesAreIgnored(t *testing.T) {
+	address := netip.MustParseAddrPort("127.0.0.1:900")
+	now := time.Unix(1000, 0)
+	m := membership.New(instance.New(address, 2), rand.New(rand.NewPCG(1, 1)))
+	m.Join(now, message.Facts{Services: []string{"proofs"}})
+	digest := message.Control{MemberDigest: &message.MemberDigest{Hashes: []uint64{1}}}
+	for incarnation := range uint64(3) {
+		require.Empty(t, m.Receive(now, instance.New(address, incarnation), digest, nil))
+	}
+}
+
+// Guards against two nodes that exchange digests without end because neither
+// counts the other as a member.
+func TestDigestOfStrangerGetsOneReply(t *testing.T) {
+	now := time.Unix(1000, 0)
+	m := membership.New(instance.New(netip.MustParseAddrPort("127.0.0.1:900"), 2), rand.New(rand.NewPCG(1, 1)))
+	m.Join(now, message.Facts{Services: []string{"proofs"}})
+	stranger := instance.New(netip.MustParseAddrPort("127.0.0.1:901"), 1)
+	digest := message.Control{MemberDigest: &message.MemberDigest{Hashes: []uint64{1}}}
+	for _, s := range m.Receive(now, stranger, digest, nil) {
+		if d := s.Control.MemberDigest; d != nil {
+			require.True(t, d.Reply)
+		}
+	}
+}
--- a/pkg/message/call.go
+++ b/pkg/message/call.go
@@ -104,6 +104,7 @@
 	KeyAge     time.Duration     `cbor:"17,keyasint,omitempty"` // time since the key was issued, by the entry node's clock; negative if unknown
 	Epoch      uint64            `cbor:"18,keyasint,omitempty"` // owner table by which the callee was chosen
 	Trace      Trace             `cbor:"19,keyasint"`
+	Crashes    int               `cbor:"20,keyasint,omitempty"` // earlier attempts at which the backend server crashed
 }
 
 // Answer ends one attempt of a call. The body follows on the same stream.
--- a/pkg/node/call.go
+++ b/pkg/node/call.go
@@ -10,6 +10,10 @@
 	"github.com/papayapath/papayapath/pkg/priority"
 )
 
+// suspicionLeft is how long a suspicion lasts that an offer brings along. The
+// one that the crash raised takes its place much earlier.
+const suspicionLeft = time.Minute
+
 // Arrive takes a new call of a caller or of the own backend server and returns
 // its id.
 func (n *Node) Arrive(now time.Time, r *dispatcher.Request, out *Output) message.CallID {
@@ -34,6 +38,13 @@
 // backend server.
 func (n *Node) Offer(now time.Time, from instance.ID, o *message.Offer, out *Output) {
 	start := len(out.Actions)
+	if o.Crashes > 0 {
+		// The retry may be here before the suspicion that its crash raised.
+		n.quarantine.Merge(now, message.Suspicion{
+			Customer: o.Customer, Content: o.Content,
+			Crashes: o.Crashes, Revision: uint64(o.Crashes), Left: suspicionLeft,
+		})
+	}
 	out.Actions = n.acceptor.Offer(now, from, o, out.Actions)
 	n.track(now, out, start)
 }
