--- a/pkg/contract/document.go
+++ b/pkg/contract/document.go
@@ -32,8 +32,11 @@
 // Duration is a time span that JSON writes like 250ms or 24h.
 type Duration time.Duration
 
+// String returns the form of time.Duration.
+func (d Duration) String() string { return time.Duration(d).String() }
+
 // MarshalText writes d in the form of time.Duration.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+func (d Duration) MarshalText() ([]byte, error) { return []byte(d.String()), nil }
 
 // UnmarshalText reads the form of time.ParseDuration. It returns a
 // *DurationError for anything else.
--- a/pkg/declarations/gossip.go
+++ b/pkg/declarations/gossip.go
@@ -177,7 +177,7 @@
 func isValid(u *message.DeclarationsUpdate) bool {
 	for i := range u.Table.Entries {
 		c := u.Table.Entries[i].Contract
-		if c != nil && (c.Check() != nil || c.Customer != u.Table.Entries[i].Customer) {
+		if c != nil && (c.Valid() != nil || c.Customer != u.Table.Entries[i].Customer) {
 			return false
 		}
 	}
--- a/pkg/declarations/log.go
+++ b/pkg/declarations/log.go
@@ -67,9 +67,9 @@
 func (s *State) record(t *table, r stream.Record) {
 	position := stream.At(t.version.Generation, r.Offset)
 	wasReady := t.ready
-	err := t.append(position, r.ID, r.Data)
+	change, err := t.append(position, r.ID, r.Data)
 	if wasReady {
-		s.results = append(s.results, Result{Position: position, Record: r.ID, Err: err})
+		s.results = append(s.results, Result{Position: position, Record: r.ID, Change: change, Err: err})
 	}
 }
 
--- a/pkg/declarations/snapshot.go
+++ b/pkg/declarations/snapshot.go
@@ -24,12 +24,19 @@
 	maxSteps = 32
 	// retry is the time after which an append is taken to have failed.
 	retry = 10 * time.Second
+	// examineInterval is the time between two checks, since ranking the
+	// readers takes a hash of each.
+	examineInterval = time.Second
 )
 
 // Snapshot returns the data of a record that this node must append now, so
 // that the log never trims what is in force. Readers are the nodes that read
 // the log, this one included. Duplicates in the log are harmless.
 func (s *State) Snapshot(now time.Time, readers []instance.ID) ([]byte, bool) {
+	if now.Before(s.examineAt) {
+		return nil, false
+	}
+	s.examineAt = now.Add(examineInterval)
 	table, due := s.due(now, readers)
 	if !due || (!s.attemptAt.IsZero() && now.Sub(s.attemptAt) < retry) {
 		return nil, false
--- a/pkg/declarations/state.go
+++ b/pkg/declarations/state.go
@@ -42,6 +42,7 @@
 	read       stream.Position // end of the log by the last read
 	snapshot   stream.Position // last snapshot that was seen
 	snapshotAt time.Time       // when it was seen; zero if unknown
+	examineAt  time.Time       // when Snapshot next looks whether one is due
 	attemptAt  time.Time       // when this node last offered a snapshot
 	stuckSince time.Time       // since when the log's generation lacks what is in force
 }
@@ -141,8 +142,9 @@
 // Result says what became of one record of the log, or of one message.
 type Result struct {
 	Position stream.Position
-	Record   string // id of the record; empty if the result is about no record
-	Err      error  // nil if the record took effect; see the error types
+	Record   string          // id of the record; empty if the result is about no record
+	Change   *message.Change // nil if the record holds none
+	Err      error           // nil if the record took effect; see the error types
 }
 
 // reading returns the table that the next records of the log belong to.
--- a/pkg/declarations/table.go
+++ b/pkg/declarations/table.go
@@ -69,18 +69,20 @@
 	return t.version.Compare(p) >= 0
 }
 
-// append applies the next record of the log and reports what became of it.
-func (t *table) append(position stream.Position, id string, data []byte) error {
+// append applies the next record of the log. It returns the change that the
+// record holds, if any, and what became of it.
+func (t *table) append(position stream.Position, id string, data []byte) (*message.Change, error) {
 	record, err := message.Decode[message.DeclarationRecord](data)
 	t.version = position
 	if err != nil {
-		return &RecordError{reason: "encoding", cause: err}
+		return nil, &RecordError{reason: "encoding", cause: err}
 	}
+	w := waiting{position: position, id: id, record: record}
 	if !t.ready {
-		t.await(waiting{position: position, id: id, record: record})
-		return nil
+		t.await(w)
+		return record.Change, nil
 	}
-	return t.apply(waiting{position: position, id: id, record: record})
+	return record.Change, t.apply(w)
 }
 
 // await keeps a record until a snapshot makes the table whole.
@@ -264,7 +266,7 @@
 
 func check(c *message.Change) error {
 	for i := range c.Contracts {
-		if err := c.Contracts[i].Check(); err != nil {
+		if err := c.Contracts[i].Valid(); err != nil {
 			return &RecordError{reason: "contract", cause: err}
 		}
 	}
