--- /dev/null
+++ b/pkg/limits/derivation_test.go
@@ -0,0 +1,43 @@
+package limits_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/pkg/contract"
+	"github.com/papayapath/papayapath/pkg/importance"
+	"github.com/papayapath/papayapath/pkg/limits"
+)
+
+func class(service string, level importance.Level, deadline time.Duration) contract.Option {
+	return contract.WithClass(contract.NewClass(service, "", "/", level, true, deadline))
+}
+
+// Guards against limits that are too low because calls, customers or retries
+// are counted only once, or too high because a customer's rate is counted for
+// each of its calls.
+func TestDerive(t *testing.T) {
+	d := limits.Derive([]*contract.Contract{
+		contract.New("quimper", contract.WithRate(20, 40), contract.WithRetries(1),
+			class("proofs", importance.Background, 4*time.Second)),
+		contract.New("brest", contract.WithRate(10, 15), contract.WithRetries(3),
+			class("proofs", importance.Normal, 2*time.Second),
+			class("proofs", importance.Background, time.Second),
+			class("calendars", importance.Critical, time.Second)),
+	})
+	require.Equal(t, []limits.Customer{
+		{Name: "brest", Rate: 10, Burst: 15, Retries: 3, Runs: 4, Load: 40},
+		{Name: "quimper", Rate: 20, Burst: 40, Retries: 1, Runs: 2, Load: 40},
+	}, d.Customers())
+	require.Equal(t, []limits.Service{
+		{Name: "calendars", Demand: [4]float64{3: 10}, Total: 10, Burst: 15, Concurrency: 10, Deadline: time.Second},
+		{Name: "proofs", Demand: [4]float64{0: 30, 1: 10}, Total: 30, Burst: 55, Concurrency: 100, Deadline: 4 * time.Second},
+	}, d.Services())
+}
+
+// Guards against a panic where nothing is declared.
+func TestDeriveFromNothing(t *testing.T) {
+	require.Empty(t, limits.Derive(nil).Services())
+}
--- /dev/null
+++ b/pkg/limits/doc.go
@@ -0,0 +1,3 @@
+// Package limits derives limits from contracts. docs/limits.md explains the
+// formulas.
+package limits
