--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -9,6 +9,7 @@
 	"github.com/google/subcommands"
 	"github.com/sirupsen/logrus"
 
+	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/keys"
 	"github.com/papayapath/papayapath/internal/operator"
 	"github.com/papayapath/papayapath/internal/runtime"
@@ -79,7 +80,7 @@
 		r.Kill()
 		return err
 	}
-	log.WithField("callers", r.Callers()).WithField("peers", r.Self().Address()).Info("node started")
+	event.NodeStarted.Log(log, logrus.Fields{"callers": r.Callers(), "peers": r.Self().Address()})
 	awaitStop(ctx, ring, log)
 	return stop(r, console)
 }
@@ -92,7 +93,7 @@
 		select {
 		case <-ticker.C:
 			if err := ring.Reload(); err != nil {
-				log.WithError(err).Warn("keys not reloaded")
+				event.KeysNotReloaded.Log(log, logrus.Fields{"detail": err.Error()})
 			}
 		case <-ctx.Done():
 			return
@@ -123,6 +124,21 @@
 	return log, nil
 }
 
+// events maps what a node reports to the numbered events.
+var events = map[node.EventKind]event.Event{
+	node.MemberChanged:    event.MemberChanged,
+	node.VersionChanged:   event.VersionChanged,
+	node.RecordRejected:   event.RecordRejected,
+	node.BackendAnnounced: event.BackendAnnounced,
+	node.BackendLost:      event.BackendLost,
+	node.EpochChanged:     event.EpochChanged,
+	node.BecameReady:      event.NodeReady,
+}
+
 func logEvent(log *logrus.Logger, e node.Event) {
-	log.WithField("event", e.Kind).Info(e.Detail)
+	known, ok := events[e.Kind]
+	if !ok {
+		known = event.Unlisted
+	}
+	known.Log(log, logrus.Fields{"detail": e.Detail})
 }
