--- a/pkg/declarations/gossip.go
+++ b/pkg/declarations/gossip.go
@@ -130,7 +130,7 @@
 // update applies an update, or asks for a larger one if it leaves a gap.
 func (s *State) update(now time.Time, from instance.ID, u *message.DeclarationsUpdate, out []Send) []Send {
 	s.note(now, u.Table.Version)
-	if !isValid(u) {
+	if !isSound(&u.Table) {
 		s.results = append(s.results, Result{Position: u.Table.Version, Err: &RecordError{reason: "update of a peer"}})
 		return out
 	}
@@ -174,16 +174,6 @@
 	s.promote(now)
 }
 
-func isValid(u *message.DeclarationsUpdate) bool {
-	for i := range u.Table.Entries {
-		c := u.Table.Entries[i].Contract
-		if c != nil && (c.Valid() != nil || c.Customer != u.Table.Entries[i].Customer) {
-			return false
-		}
-	}
-	return true
-}
-
 // keep remembers a table of an older generation that the log lacks.
 func (s *State) keep(u *message.DeclarationsUpdate) {
 	if !u.Since.IsZero() || s.force.contains(u.Table.Version) {
--- a/pkg/declarations/state_test.go
+++ b/pkg/declarations/state_test.go
@@ -57,15 +57,17 @@
 	base := s.Version()
 	bad := terms("brest", 1)
 	bad.Calls = nil
+	snapshot := &message.Snapshot{Version: stream.At(0, 9), Entries: []message.Entry{{Customer: "brest", Contract: &bad}}}
 	log.append(start, "bytes", []byte("{"))
 	log.append(start, "empty", encode(t, message.DeclarationRecord{}))
 	log.append(start, "nothing", change(t, base, "anna", nil))
 	log.append(start, "rule", change(t, base, "anna", []contract.Document{bad}))
 	log.append(start, "twice", change(t, base, "anna", []contract.Document{terms("brest", 1)}, "brest"))
 	log.append(start, "future", change(t, stream.At(1, 99), "anna", []contract.Document{terms("brest", 1)}))
+	log.append(start, "snapshot", encode(t, message.DeclarationRecord{Snapshot: snapshot}))
 	log.append(start, "good", change(t, base, "anna", []contract.Document{terms("brest", 5)}))
 	follow(start, s, log)
-	for _, r := range s.Results()[:6] {
+	for _, r := range s.Results()[:7] {
 		var want *declarations.RecordError
 		require.ErrorAs(t, r.Err, &want, r.Record)
 	}
--- a/pkg/declarations/table.go
+++ b/pkg/declarations/table.go
@@ -77,6 +77,9 @@
 	if err != nil {
 		return nil, &RecordError{reason: "encoding", cause: err}
 	}
+	if s := record.Snapshot; s != nil && !isSound(s) {
+		return nil, &RecordError{reason: "snapshot with an entry that no change can have made"}
+	}
 	w := waiting{position: position, id: id, record: record}
 	if !t.ready {
 		t.await(w)
@@ -264,6 +267,21 @@
 	return append(names, c.Removed...)
 }
 
+// isSound reports whether each entry of a snapshot is one that changes up to
+// its version can have made.
+func isSound(s *message.Snapshot) bool {
+	for i := range s.Entries {
+		e := &s.Entries[i]
+		if e.Changed.After(s.Version) {
+			return false
+		}
+		if e.Contract != nil && (e.Contract.Valid() != nil || e.Contract.Customer != e.Customer) {
+			return false
+		}
+	}
+	return true
+}
+
 func check(c *message.Change) error {
 	for i := range c.Contracts {
 		if err := c.Contracts[i].Valid(); err != nil {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -15,12 +15,18 @@
 // Guards against dead nodes that keep getting calls. The bound is the goal of
 // about 1 s on a LAN at the defaults.
 func TestDetection(t *testing.T) {
-	const size, trials = 32, 20
+	for size, trials := range map[int]int{8: 20, 32: 20, 128: 5} {
+		testDetection(t, size, trials)
+	}
+}
+
+func testDetection(t *testing.T, size, trials int) {
+	t.Helper()
 	var total, worst time.Duration
 	for seed := range uint64(trials) {
 		w := newNetwork(t, seed)
 		w.mesh(size)
-		victim := w.nodes[1+int(seed)]
+		victim := w.nodes[1+int(seed)%(size-1)]
 		victim.down = true
 		crash := w.now
 		w.run(3 * time.Second)
@@ -35,7 +41,7 @@
 		}
 		require.Equal(t, size-1, w.count(membership.Died), "only the victim died")
 	}
-	mean := total / (trials * (size - 1))
+	mean := total / time.Duration(trials*(size-1))
 	t.Logf("detection at %d members: mean %v, slowest node of %d trials %v", size, mean, trials, worst)
 	require.LessOrEqual(t, mean, time.Second)
 	require.LessOrEqual(t, worst, 2*time.Second)
