Make requests differ and listen a little past their time limit

Cause: nodes recognise requests that crash servers by their content, so equal paths would put whole classes under suspicion; and a client that hangs up at its time limit never learns what the node says of a failed call. Change: each request asks for one of 1,000 items, and steps carry the item on; a class may crash servers; a client listens for 100 ms more, but a whole answer after the limit counts as failed. Tests of pause, cold start and seeds are added. A test of pause that depended on the speed of the machine is replaced by two that don't and that check more.

--- a/cmd/lab/load.go
+++ b/cmd/lab/load.go
@@ -18,8 +18,8 @@
 )
 
 // patience is how long answers are waited for after the last request. No send
-// of a deployment has a longer time limit.
-const patience = 2 * time.Second
+// of a deployment lasts longer.
+const patience = 2200 * time.Millisecond
 
 // loadCommand sends the load of a deployment.
 type loadCommand struct {
--- a/cmd/lab/server.go
+++ b/cmd/lab/server.go
@@ -57,8 +57,8 @@
 	if err != nil {
 		return err
 	}
-	if c.node == "" {
-		return &usageError{flag: "node", reason: "missing"}
+	if err := loopback.Check(c.node); err != nil {
+		return &usageError{flag: "node", reason: err.Error()}
 	}
 	listener, err := loopback.ListenAt(c.listen)
 	if err != nil {
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -26,8 +26,8 @@
 	// request. Each server has announced itself by then.
 	settle = 300 * time.Millisecond
 	// grace is how long after the last arrival answers are waited for. No
-	// send has a longer time limit.
-	grace = 2 * time.Second
+	// send lasts longer.
+	grace = 2200 * time.Millisecond
 )
 
 // Experiment is one run of a deployment behind a variant.
--- a/internal/lab/load/customer.go
+++ b/internal/lab/load/customer.go
@@ -15,6 +15,7 @@
 	Importance importance.Level
 	Once       bool          // the request is not repeatable and carries an idempotency key
 	Deadline   time.Duration // time limit of one send
+	Crash      bool          // the request crashes each server that runs it
 }
 
 // Customer is a source of requests.
--- a/internal/lab/load/generator.go
+++ b/internal/lab/load/generator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,6 +18,10 @@
 )
 
 const (
+	// items is the number of different things that requests of one class ask
+	// for. Requests must differ, because nodes recognise a request that
+	// crashes servers by its content.
+	items = 1000
 	// calmPause is the time between a failure and the next send.
 	calmPause = 100 * time.Millisecond
 	// hardPause is the same for clients that resend hard.
@@ -93,6 +98,7 @@
 		r := &request{
 			customer: c, class: class, arrived: time.Now(),
 			root: fmt.Sprintf("%s-%d-%d", c.Name, g.seed, number),
+			path: class.Path + "/" + strconv.Itoa(random.IntN(items)),
 		}
 		if class.Once {
 			r.key = keys.next()
--- a/internal/lab/load/generator_test.go
+++ b/internal/lab/load/generator_test.go
@@ -200,3 +200,25 @@
 		})
 	}
 }
+
+// Guards against runs with the same seed that can't be compared.
+func TestSeedRepeatsArrivals(t *testing.T) {
+	arrivals := func(seed uint64) (times []time.Duration) {
+		synctest.Test(t, func(*testing.T) {
+			h := history.New()
+			begin := time.Now()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			load.New(seed, []string{"127.0.0.1:1"}, h, load.Customer{
+				Name: "commune", Rate: 50,
+				Classes: []load.Class{{Service: "s", Method: http.MethodGet, Weight: 1, Deadline: time.Second}},
+			}).Run(context.Background(), ctx)
+			for _, r := range h.Requests() {
+				times = append(times, r.Arrived.Sub(begin))
+			}
+		})
+		return times
+	}
+	require.Equal(t, arrivals(1), arrivals(1))
+	require.NotEqual(t, arrivals(1), arrivals(2))
+}
--- a/internal/lab/load/request.go
+++ b/internal/lab/load/request.go
@@ -17,6 +17,7 @@
 	customer Customer
 	class    Class
 	root     string
+	path     string
 	key      string // idempotency key; empty if the request is repeatable
 	arrived  time.Time
 	sends    int
@@ -52,12 +53,18 @@
 	refused             // sending it again is of no use
 )
 
-// send sends a request once and checks the answer.
+// lateness is how long after its time limit a client still listens, so that
+// it learns what the node has to say about a call that failed.
+const lateness = 100 * time.Millisecond
+
+// send sends a request once and checks the answer. A whole answer after the
+// time limit is of no use to the customer.
 func (g *Generator) send(ctx context.Context, r *request) fate {
-	ctx, cancel := context.WithTimeout(ctx, r.class.Deadline)
+	due := time.Now().Add(r.class.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, due.Add(lateness))
 	defer cancel()
 	reply, err := g.caller.Do(ctx, caller.Request{
-		Method: r.class.Method, URL: "http://" + g.entry() + "/" + r.class.Service + r.class.Path,
+		Method: r.class.Method, URL: "http://" + g.entry() + "/" + r.class.Service + r.path,
 		Header: r.header(), Body: r.body(),
 	})
 	if err != nil {
@@ -69,7 +76,7 @@
 	}
 	verdict := answer.Verify(r.class.Service, r.root, reply.Header.Get(wire.Checksum), reply.Body)
 	g.history.Judge(verdict)
-	if verdict != answer.Whole {
+	if verdict != answer.Whole || time.Now().After(due) {
 		return failed
 	}
 	return whole
@@ -84,7 +91,7 @@
 	if r.key != "" {
 		h.Set(wire.Key, r.key)
 	}
-	wire.Identity{Root: r.root, Attempt: r.sends, Work: r.key}.Write(h.Set)
+	wire.Identity{Root: r.root, Attempt: r.sends, Work: r.key, Crash: r.class.Crash}.Write(h.Set)
 	return h
 }
 
--- a/internal/lab/server/client.go
+++ b/internal/lab/server/client.go
@@ -44,7 +44,7 @@
 		header.Set(wire.Call, c.id)
 	}
 	return caller.Request{
-		Method: step.Method, URL: "http://" + s.node + "/" + step.Service + step.Path,
+		Method: step.Method, URL: "http://" + s.node + "/" + step.Service + step.Path + c.tail,
 		Header: header, Body: c.body,
 	}
 }
--- a/internal/lab/server/handle.go
+++ b/internal/lab/server/handle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -18,6 +19,7 @@
 	wire.Identity
 	id       string // value of Papayapath-Call
 	path     Path
+	tail     string // what follows the prefix of path; further calls carry it on
 	body     []byte
 	deadline time.Time // zero if there is none
 }
@@ -44,8 +46,9 @@
 func (s *Server) parse(r *fasthttp.RequestCtx, now time.Time) (call, bool) {
 	get := func(name string) string { return string(r.Request.Header.Peek(name)) }
 	path, ok := match(s.paths, string(r.Path()))
+	tail := strings.TrimPrefix(string(r.Path()), path.Prefix)
 	c := call{
-		Identity: wire.Read(get), id: get(wire.Call), path: path,
+		Identity: wire.Read(get), id: get(wire.Call), path: path, tail: tail,
 		body: append([]byte(nil), r.PostBody()...),
 	}
 	if left, err := strconv.Atoi(get(wire.Deadline)); err == nil {
--- a/internal/lab/server/path.go
+++ b/internal/lab/server/path.go
@@ -9,8 +9,8 @@
 type Step struct {
 	Service string
 	Method  string
-	Path    string
-	Once    bool // the call must not run more than once for a request
+	Path    string // followed by what follows the prefix in the path of the request
+	Once    bool   // the call must not run more than once for a request
 }
 
 // Path is how a server answers the requests whose path starts with Prefix.
--- a/internal/lab/server/server_test.go
+++ b/internal/lab/server/server_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,18 +142,55 @@
 	require.Zero(t, b.running())
 }
 
-// Guards against a paused server that writes after the deadline of a call.
+// Guards against a paused server that starts a run whose deadline has passed.
+// A request that arrives only after the pause runs, so the pause grows until
+// it is longer than the way of the request.
+func TestPausedServerRefusesLateStart(t *testing.T) {
+	b := start(t)
+	for pause := 20 * time.Millisecond; pause < patience; pause *= 2 {
+		before := len(b.history.Runs())
+		b.server.Pause(true)
+		var group conc.WaitGroup
+		status := 0
+		group.Go(func() { status = b.status("/days", wire.Deadline, "10") })
+		time.Sleep(pause)
+		b.server.Pause(false)
+		group.Wait()
+		if status == http.StatusGatewayTimeout {
+			require.Len(t, b.history.Runs(), before)
+			return
+		}
+	}
+	require.Fail(t, "no late request was refused")
+}
+
+// Guards against a paused server that answers, and one that writes after the
+// deadline of a call.
 func TestPausedServerRefusesLateWrite(t *testing.T) {
 	b := start(t)
-	b.server.Pause(true)
+	b.server.Slow(float64(time.Hour / time.Millisecond))
+	var status atomic.Int64
 	var group conc.WaitGroup
-	status := 0
-	group.Go(func() { status = b.status("/days", wire.Deadline, "10") })
-	time.Sleep(30 * time.Millisecond)
+	begin := time.Now()
+	group.Go(func() { status.Store(int64(b.status("/days", wire.Deadline, "200"))) })
+	b.eventually("the run starts", func() bool { return len(b.history.Runs()) == 1 })
+	b.server.Pause(true)
+	inTime := time.Since(begin) < 200*time.Millisecond
+	b.eventually("the run ends at its deadline", func() bool { return b.running() == 0 })
+	time.Sleep(20 * time.Millisecond)
+	if inTime {
+		require.Zero(t, status.Load(), "the server was paused before the deadline")
+	}
 	b.server.Pause(false)
 	group.Wait()
-	require.Equal(t, http.StatusGatewayTimeout, status)
-	require.Empty(t, b.history.Runs())
+	require.Equal(t, int64(http.StatusGatewayTimeout), status.Load())
+}
+
+// Guards against a server that is as fast just after its start as later.
+func TestColdStart(t *testing.T) {
+	b := start(t, server.WithCold(time.Hour, float64(time.Hour/time.Millisecond)))
+	require.Equal(t, http.StatusGatewayTimeout, b.status("/days", wire.Deadline, "50"))
+	require.Len(t, b.history.Runs(), 1)
 }
 
 // Guards against a run that goes on after its caller has gone.
@@ -266,8 +304,8 @@
 		{"", []server.Option{server.WithoutForwarding()}},
 	} {
 		b := start(t, append([]server.Option{server.WithNode(address), steps}, c.options...)...)
-		require.Equal(t, http.StatusBadGateway, b.status("/days", wire.Root, "r1", wire.Call, "c9"))
-		require.Equal(t, map[string]string{"path": "/proofs/files", "call": c.want, "root": "r1", "work": "r1//0"}, <-n.calls)
+		require.Equal(t, http.StatusBadGateway, b.status("/days/7", wire.Root, "r1", wire.Call, "c9"))
+		require.Equal(t, map[string]string{"path": "/proofs/files/7", "call": c.want, "root": "r1", "work": "r1//0"}, <-n.calls)
 		require.Len(t, b.history.Refusals(), 1)
 	}
 }
