Close servers that were just started, and use free ports in tests

Cause: a node whose port for callers was in use hung and ignored signals: the shutdown came before the HTTP library had taken over the listener of its other port. The script of the node used fixed ports and failed when two checkouts were tested at once. Change: internal/web closes the listener itself and serves gateway and console alike; scripts get free ports; lab run knows the variant papayapath.

--- a/cmd/lab/run.go
+++ b/cmd/lab/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayapath/papayapath/internal/lab/deployment"
 	"github.com/papayapath/papayapath/internal/lab/experiment"
+	"github.com/papayapath/papayapath/internal/lab/mesh"
 	"github.com/papayapath/papayapath/internal/lab/report"
 )
 
@@ -16,7 +17,9 @@
 const every = "all"
 
 // variants returns the variants that run knows.
-func variants() []experiment.Variant { return []experiment.Variant{experiment.Naive()} }
+func variants() []experiment.Variant {
+	return []experiment.Variant{mesh.Variant(), experiment.Naive()}
+}
 
 // runCommand runs experiments.
 type runCommand struct {
@@ -43,7 +46,7 @@
 func (c *runCommand) SetFlags(f *flag.FlagSet) {
 	f.Uint64Var(&c.seed, "seed", 1, "seed of arrivals and run times")
 	f.StringVar(&c.deployment, "deployment", every, "regie, nilegear or all")
-	f.StringVar(&c.variant, "variant", every, "naive or all")
+	f.StringVar(&c.variant, "variant", every, "papayapath, naive or all")
 	f.StringVar(&c.format, "format", "table", "table or json")
 	f.StringVar(&c.report, "report", "", "file for plots, PNG; none if empty")
 }
--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -1,10 +1,13 @@
 package command_test
 
 import (
+	"fmt"
+	"net"
 	"os"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/stretchr/testify/require"
 
 	"github.com/papayapath/papayapath/internal/command"
 )
@@ -15,8 +18,44 @@
 	})
 }
 
+// ports is the number of free ports that scripts find in PORT0, PORT1, ...
+const ports = 5
+
 // Guards against exit codes, messages and effects other than the documented
 // ones.
 func TestScripts(t *testing.T) {
-	testscript.Run(t, testscript.Params{Dir: "testdata"})
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: reservePorts,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"expand": expand,
+		},
+	})
+}
+
+// reservePorts finds ports that are free, so that two runs of the tests at
+// the same time do not meet.
+func reservePorts(e *testscript.Env) error {
+	for i := range ports {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = listener.Close() }()
+		e.Setenv(fmt.Sprintf("PORT%d", i), fmt.Sprint(listener.Addr().(*net.TCPAddr).Port))
+	}
+	return nil
+}
+
+// expand replaces variables of the environment in a file.
+func expand(ts *testscript.TestScript, _ bool, arguments []string) {
+	for _, file := range arguments {
+		text := os.Expand(ts.ReadFile(file), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(file), []byte(text), 0o600))
+	}
+}
+
+// Guards against a program that starts without its commands.
+func TestUnknownCommand(t *testing.T) {
+	require.Equal(t, 2, command.Main([]string{"no-such-command"}))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/sourcegraph/conc"
 
 	"github.com/papayapath/papayapath/internal/exchange"
 	"github.com/papayapath/papayapath/internal/socket"
+	"github.com/papayapath/papayapath/internal/web"
 	"github.com/papayapath/papayapath/pkg/message"
 )
 
@@ -27,8 +26,7 @@
 	app      *fiber.App
 	calls    Calls
 	internal bool
-	address  net.Addr
-	tasks    conc.WaitGroup
+	server   *web.Server
 }
 
 // Option sets an optional part of a gateway.
@@ -49,14 +47,10 @@
 	}
 }
 
-// Listen serves HTTP on address until Close. It returns a *ListenError if the
-// address can't be used.
+// Listen serves HTTP on address until Close. It returns a *web.ListenError if
+// the address can't be used.
 func Listen(address string, calls Calls, options ...Option) (*Gateway, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, &ListenError{address: address, cause: err}
-	}
-	g := &Gateway{calls: calls, address: listener.Addr()}
+	g := &Gateway{calls: calls}
 	g.app = fiber.New(fiber.Config{
 		BodyLimit:      message.MaxBody,
 		ReadBufferSize: message.MaxHeader,
@@ -67,22 +61,20 @@
 		o(g)
 	}
 	g.app.Use(g.handle)
-	g.tasks.Go(func() {
-		_ = g.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
-	})
+	server, err := web.Listen(address, g.app)
+	if err != nil {
+		return nil, err
+	}
+	g.server = server
 	return g, nil
 }
 
 // Address returns the address on which the gateway listens.
-func (g *Gateway) Address() string { return g.address.String() }
+func (g *Gateway) Address() string { return g.server.Address() }
 
 // Close stops accepting connections and waits until the requests in flight
 // have been answered, or until ctx ends.
-func (g *Gateway) Close(ctx context.Context) error {
-	err := g.app.ShutdownWithContext(ctx)
-	g.tasks.Wait()
-	return err
-}
+func (g *Gateway) Close(ctx context.Context) error { return g.server.Close(ctx) }
 
 func (g *Gateway) handle(c fiber.Ctx) error {
 	r, err := read(c, g.internal)
--- a/internal/operator/console.go
+++ b/internal/operator/console.go
@@ -3,51 +3,44 @@
 import (
 	"context"
 	"crypto/subtle"
-	"net"
 	"strings"
 	"time"
 
 	"github.com/gofiber/fiber/v3"
-	"github.com/sourcegraph/conc"
 
 	"github.com/papayapath/papayapath/internal/runtime"
+	"github.com/papayapath/papayapath/internal/web"
 	"github.com/papayapath/papayapath/pkg/node"
 )
 
 // Console is the HTTP server for operators.
 type Console struct {
-	app     *fiber.App
 	token   string
 	runtime *runtime.Runtime
-	address net.Addr
-	tasks   conc.WaitGroup
+	server  *web.Server
 }
 
 // Listen serves operators of r on address until Close. Commands that change
 // state need token as a bearer token; with an empty token they are refused.
 func Listen(address, token string, r *runtime.Runtime) (*Console, error) {
-	listener, err := net.Listen("tcp", address)
+	c := &Console{token: token, runtime: r}
+	app := fiber.New()
+	app.Get("/status", c.status)
+	app.Get("/metrics", c.metrics)
+	app.Post("/drain", c.drain)
+	server, err := web.Listen(address, app)
 	if err != nil {
-		return nil, &ListenError{address: address, cause: err}
+		return nil, err
 	}
-	c := &Console{app: fiber.New(), token: token, runtime: r, address: listener.Addr()}
-	c.app.Get("/status", c.status)
-	c.app.Get("/metrics", c.metrics)
-	c.app.Post("/drain", c.drain)
-	c.tasks.Go(func() {
-		_ = c.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
-	})
+	c.server = server
 	return c, nil
 }
 
 // Address returns the address on which the console listens.
-func (c *Console) Address() string { return c.address.String() }
+func (c *Console) Address() string { return c.server.Address() }
 
 // Close ends the server.
-func (c *Console) Close(ctx context.Context) {
-	_ = c.app.ShutdownWithContext(ctx)
-	c.tasks.Wait()
-}
+func (c *Console) Close(ctx context.Context) { _ = c.server.Close(ctx) }
 
 // bearer is the scheme of the Authorization field.
 const bearer = "Bearer "
--- /dev/null
+++ b/internal/web/doc.go
@@ -0,0 +1,2 @@
+// Package web runs an HTTP application on a TCP address.
+package web
