--- a/pkg/acceptor/run.go
+++ b/pkg/acceptor/run.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/action"
+	"github.com/papayapath/papayapath/pkg/importance"
 	"github.com/papayapath/papayapath/pkg/limiter"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
@@ -37,9 +38,12 @@
 			return out, false
 		}
 	}
-	e.state, e.started = running, now
+	e.state, e.started, e.resumed = running, now, now
 	e.handle = a.running.Push(o.Priority, e.deadline, e)
 	a.limiter.Begin(now)
+	if o.Priority.Level() < importance.Critical {
+		a.lowerStarted = now
+	}
 	a.counters.started++
 	return append(out, action.Action{Kind: action.Run, Offer: o}), true
 }
@@ -112,11 +116,11 @@
 // leave takes e out of the running calls.
 func (a *Acceptor) leave(now time.Time, e *entry, result limiter.Result) {
 	a.running.Remove(e.handle)
-	own := e.own(now)
 	if e.children > 0 {
-		a.limiter.Resume(now)
+		a.limiter.EndWaiting()
+	} else {
+		a.limiter.End(now, result, now.Sub(e.resumed))
 	}
-	a.limiter.End(now, result, own)
 	if e.alone {
 		a.isolation.end(now)
 	}
@@ -187,8 +191,10 @@
 	switch {
 	case answer.Outcome == outcome.Complete && answer.Status == statusUnavailable:
 		return limiter.Shed
-	case answer.Outcome == outcome.Complete || answer.Reason == outcome.Expired:
+	case answer.Outcome == outcome.Complete:
 		return limiter.Served
+	case answer.Reason == outcome.Expired:
+		return limiter.Late
 	default:
 		return limiter.Aborted
 	}
@@ -196,7 +202,7 @@
 
 func abortResult(reason outcome.Reason) limiter.Result {
 	if reason == outcome.Expired {
-		return limiter.Served
+		return limiter.Late
 	}
 	return limiter.Aborted
 }
