--- a/pkg/guard/change.go
+++ b/pkg/guard/change.go
@@ -29,6 +29,7 @@
 // change is the state of the owner's own table change.
 type change struct {
 	since     time.Time // when the wanted change was first seen; zero if none is wanted
+	differs   bool      // the wanted change names other owners than those in force
 	sequence  int       // number of records written by this incarnation
 	pending   *pending
 	tableSeen time.Time // when the table in force was read; zero if its age is unknown
@@ -37,6 +38,7 @@
 // pending is a record that was sent to the log and may still land.
 type pending struct {
 	record  message.OwnerRecord
+	same    bool      // it names the owners in force
 	sent    int       // number of appends
 	waiting bool      // its append has not been answered
 	doubt   time.Time // when its append was answered without a result; zero if it wasn't
@@ -44,7 +46,7 @@
 
 func (c *change) wanted() bool { return !c.since.IsZero() }
 
-func (c *change) forget() { c.since = time.Time{} }
+func (c *change) forget() { c.since, c.differs = time.Time{}, false }
 
 // missing notes a read to the end that doesn't show the pending record. Only
 // a read that began after the append was given up says that it may be sent
@@ -101,10 +103,13 @@
 	}
 }
 
+// moves reports whether a record that may still land would change the owners.
+func (c *change) moves() bool { return c.pending != nil && !c.pending.same }
+
 // changeTable appends the table that this instance wants, or sends its
 // pending record again.
 func (g *Guard) changeTable(now time.Time) {
-	if !g.fresh(now) || g.superseded {
+	if !g.fresh(now) || g.reads.failed || g.superseded {
 		return
 	}
 	if g.change.pending != nil {
@@ -119,6 +124,7 @@
 	if !g.change.wanted() {
 		g.change.since = now
 	}
+	g.change.differs = !g.unchanged(owners)
 	if now.Before(g.change.since.Add(g.rank()*rankPause)) || now.Before(g.promises.hold) {
 		return
 	}
@@ -135,10 +141,15 @@
 }
 
 func (g *Guard) send(r message.OwnerRecord) {
-	g.change.pending = &pending{record: r, sent: 1, waiting: true}
+	g.change.pending = &pending{record: r, same: g.unchanged(r.Owners), sent: 1, waiting: true}
 	g.effects = append(g.effects, Effect{Kind: AppendRecord, Record: r})
 }
 
+// unchanged reports whether the owners in force are these.
+func (g *Guard) unchanged(owners []instance.ID) bool {
+	return slices.Equal(owners, g.table.Owners().IDs())
+}
+
 // resend sends the pending record again after it was looked up in vain.
 func (g *Guard) resend() {
 	p := g.change.pending
--- a/pkg/guard/promise.go
+++ b/pkg/guard/promise.go
@@ -82,13 +82,16 @@
 	return r.To == g.self && r.Service == g.service &&
 		r.Epoch == g.table.Epoch() && r.Table == g.table.ID() &&
 		g.table.Owners().Contains(r.From) && !replaced &&
-		g.steady() && !(g.fresh(now) && g.change.wanted())
+		g.steady() && !(g.fresh(now) && g.change.differs)
 }
 
 // steady reports whether this owner can vouch for the table: it has read the
-// log since its start and no change of its own may still land.
+// log since its start and no change of its own may still land. A record in
+// doubt that names the same owners is harmless: whoever makes the next change
+// from it is an owner in force, knows its epoch and gives no promise for the
+// one before.
 func (g *Guard) steady() bool {
-	return g.isOwner() && g.reads.once && !g.superseded && g.change.pending == nil
+	return g.isOwner() && g.reads.once && !g.superseded && !g.change.moves()
 }
 
 // Promise takes the answer of another owner.
--- a/pkg/guard/read.go
+++ b/pkg/guard/read.go
@@ -14,8 +14,9 @@
 	readInterval = lease.Duration / 4
 	// readRetry is the time between two reads of a failing log.
 	readRetry = lease.Duration / 8
-	// readUrgent is the time between two reads while the log is known to hold
-	// more than was read.
+	// readUrgent is the time between two reads while the log may hold more
+	// than was read. It is shorter than rankPause, so that an owner sees a
+	// change by another before it makes the same one.
 	readUrgent = lease.Duration / 20
 	// readTimeout is how long an unanswered read keeps the next one back.
 	readTimeout = lease.Duration / 2
@@ -24,6 +25,7 @@
 // reads is what the guard knows of its reads of the log.
 type reads struct {
 	once     bool      // the log was read to its end since the start or the last reset
+	failed   bool      // the last read gave no result
 	end      bool      // the last read reached the end
 	start    time.Time // start of the newest read to the end
 	finish   time.Time // when that read was taken in
@@ -37,7 +39,7 @@
 // Read takes the result of a read that began at started. For a read that a
 // peer relayed, started comes from lease.RelayStart.
 func (g *Guard) Read(now, started time.Time, batch ownership.Batch) {
-	g.reads.waiting = false
+	g.reads.waiting, g.reads.failed = false, false
 	if g.outrun(started, batch) {
 		return
 	}
@@ -58,7 +60,7 @@
 }
 
 // ReadFailed reports that a read gave no result.
-func (g *Guard) ReadFailed(time.Time) { g.reads.waiting = false }
+func (g *Guard) ReadFailed(time.Time) { g.reads.waiting, g.reads.failed = false, true }
 
 // outrun reports whether a read began before a newer one was taken in and
 // shows less than that one. Its shorter log is no sign of a log that went back.
@@ -160,7 +162,7 @@
 
 func (g *Guard) readPause(now time.Time) time.Duration {
 	switch {
-	case !g.reads.end, g.reads.heard > g.table.Epoch(), g.change.pending != nil:
+	case !g.reads.end, g.reads.heard > g.table.Epoch(), g.change.pending != nil, g.change.wanted():
 		return readUrgent
 	case !g.fresh(now):
 		return readRetry
