--- a/pkg/ownership/table_test.go
+++ b/pkg/ownership/table_test.go
@@ -49,6 +49,7 @@
 		{"from another table with the same epoch", record("2", e1, "x", a, a, b, c), false},
 		{"by a new incarnation for its older one", record("2", e1, "1", a2, a2, b), true},
 		{"by a new incarnation that also adds an owner", record("2", e1, "1", a2, a2, b, c), false},
+		{"by a new incarnation that also replaces another", record("2", e1, "1", a2, a2, c), false},
 		{"by an older incarnation", record("2", e1, "1", id(1, 0), id(1, 0), b), false},
 		{"without owners", record("2", e1, "1", a), false},
 		{"with two incarnations at one address", record("2", e1, "1", a, a, a2, b), false},
