Keep an only owner that put out others from running without the log

Change: an only owner renews its lease without the log only if no table since the first had other owners.

--- a/pkg/guard/failure_test.go
+++ b/pkg/guard/failure_test.go
@@ -436,6 +436,20 @@
 	require.Equal(t, guard.Run, w.nodes[0].offer(w.keyOf(w.nodes[0])).Decision)
 }
 
+// Guards against an only owner that runs without the log although it has put
+// out the others, who may be right. One that never had others goes on.
+func TestOnlyOwner(t *testing.T) {
+	for _, size := range []int{1, 2} {
+		w := settled(size)
+		a := w.nodes[0]
+		a.blind = true
+		w.run(5 * time.Second)
+		a.cut, a.isolated = true, true
+		w.run(5 * time.Second)
+		require.Equal(t, size == 1, a.offer(w.keyOf(a)).Decision == guard.Run)
+	}
+}
+
 // Guards against an owner without the log that keeps the others from changing
 // the table by asking for promises for ever.
 func TestRequesterDoesNotBlockChange(t *testing.T) {
--- a/pkg/guard/guard.go
+++ b/pkg/guard/guard.go
@@ -34,6 +34,7 @@
 	history history
 
 	superseded bool // a newer incarnation runs at the own address
+	alone      bool // no table since the first had more than one owner
 	heir       bool // was an owner in an older log generation
 	reads      reads
 	promises   promises
--- a/pkg/guard/promise.go
+++ b/pkg/guard/promise.go
@@ -105,14 +105,18 @@
 	g.lease.Promise(p.Epoch, p.From, sent.Add(-short))
 }
 
-// askPromises adds a round of requests while the log gives no reads.
+// askPromises adds a round of requests while the log gives no reads. An only
+// owner that has outlived others needs the log: it may be the one that is cut
+// off, and its newer incarnation may have taken its place.
 func (g *Guard) askPromises(now time.Time) {
 	if !g.steady() || now.Before(g.reads.start.Add(promiseAfter)) ||
 		now.Before(g.promises.asked.Add(promiseInterval)) {
 		return
 	}
 	number := g.promises.begin(now)
-	g.lease.Alone(now)
+	if g.alone {
+		g.lease.Alone(now)
+	}
 	for _, id := range g.others(g.table.Owners()) {
 		g.effects = append(g.effects, Effect{
 			Kind: AskPromise, To: id, Request: g.request(id, number),
--- a/pkg/guard/read.go
+++ b/pkg/guard/read.go
@@ -71,6 +71,7 @@
 
 // reset drops all rights that rest on a log that no longer holds.
 func (g *Guard) reset() {
+	g.alone = false
 	g.lease.End()
 	g.history.clear()
 	g.promises.forget()
@@ -82,6 +83,7 @@
 // install takes a table that came into force.
 func (g *Guard) install(now time.Time, v ownership.View) {
 	g.heir = false
+	g.alone = v.Owners.Len() == 1 && (v.First || g.alone)
 	g.history.add(now, v.Owners)
 	g.promises.forget()
 	g.change.forget()
--- a/pkg/ownership/batch.go
+++ b/pkg/ownership/batch.go
@@ -32,4 +32,5 @@
 type View struct {
 	Epoch  uint64
 	Owners Owners
+	First  bool // no table came before it in its log generation
 }
--- a/pkg/ownership/table.go
+++ b/pkg/ownership/table.go
@@ -156,7 +156,7 @@
 	t.current = s
 	t.empty = false
 	t.unproved = nil
-	p.Tables = append(p.Tables, View{Epoch: s.epoch, Owners: s.owners})
+	p.Tables = append(p.Tables, View{Epoch: s.epoch, Owners: s.owners, First: s.record.BaseID == ""})
 }
 
 // prove handles a record on a trimmed log whose base is not retained. Such a
