Fence late sends and refuse keyed calls truthfully

Cause: the deadline went to the backend server as a remaining time, which starts again at its reception: a node paused between its lease check and the send was not fenced. An entry node told a resend that it was not run, although an earlier send through another node may have run. Change: the deadline is a point in time, reckoned at the decision; a refusal of a keyed call says not run only on the word of the key's owner. The ledger keeps records for the longest window of all contracts.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -28,17 +28,21 @@
 // Do runs a call and passes the head and the body of its answer to sink. The
 // end of the answer is returned. It is NotRun only if no connection could be
 // opened, since a request that was written even in part may have run. When
-// ctx ends or the deadline of o passes, the connection is closed, by which
-// the backend server knows that the call is canceled.
-func (b *Backend) Do(ctx context.Context, o *message.Offer, body []byte, sink reply.Sink) message.Answer {
-	ctx, cancel := context.WithTimeout(ctx, o.Remaining)
+// ctx ends or the deadline passes, the connection is closed, by which the
+// backend server knows that the call is canceled.
+//
+// The deadline is sent as a point in time, by the clock that the node and its
+// backend server share. A node that is paused before it sends a call is then
+// refused by the backend server; a remaining time would start again there.
+func (b *Backend) Do(ctx context.Context, o *message.Offer, deadline time.Time, body []byte, sink reply.Sink) message.Answer {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	conn, err := b.pool.take(ctx)
 	if err != nil {
 		return message.Answer{Outcome: outcome.NotRun, Reason: outcome.Unavailable}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	answer, reusable := exchange(conn, o, body, sink)
+	answer, reusable := exchange(conn, o, deadline, body, sink)
 	if !stop() && answer.Outcome != outcome.Complete {
 		answer.Reason = cancelReason(ctx)
 		return answer
@@ -61,10 +65,10 @@
 // exchange writes the request and reads the answer. It reports whether the
 // connection can serve another request. An answer with neither a length nor
 // chunks ends with its connection and can't be proved whole, so it is Unknown.
-func exchange(conn *connection, o *message.Offer, body []byte, sink reply.Sink) (message.Answer, bool) {
+func exchange(conn *connection, o *message.Offer, deadline time.Time, body []byte, sink reply.Sink) (message.Answer, bool) {
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	fill(request, o, body)
+	fill(request, o, deadline, body)
 	request.Header.SetHost(conn.RemoteAddr().String())
 	crashed := message.Answer{Outcome: outcome.Unknown, Reason: outcome.Crashed}
 	if err := request.Write(conn.writer); err != nil {
@@ -87,7 +91,7 @@
 	return answer, answer.Outcome == outcome.Complete && !response.ConnectionClose()
 }
 
-func fill(request *fasthttp.Request, o *message.Offer, body []byte) {
+func fill(request *fasthttp.Request, o *message.Offer, deadline time.Time, body []byte) {
 	request.Header.SetMethod(o.Method)
 	request.SetRequestURI(o.Path)
 	for _, f := range o.Header {
@@ -95,7 +99,7 @@
 	}
 	request.Header.Set(gateway.HeaderCall, o.Call.String())
 	request.Header.Set(gateway.HeaderAttempt, strconv.Itoa(o.Attempt))
-	request.Header.Set(gateway.HeaderDeadline, strconv.FormatInt(o.Remaining.Milliseconds(), 10))
+	request.Header.Set(gateway.HeaderDeadline, strconv.FormatInt(deadline.UnixMilli(), 10))
 	request.Header.Set(gateway.HeaderCustomer, o.Customer)
 	request.Header.Set(gateway.HeaderRequest, o.Root)
 	if o.Key != "" {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -14,8 +14,8 @@
 // overload. It is the smallest that the field can express.
 const retryAfter = "1"
 
-// statuses maps the reasons of calls that were not run to HTTP statuses.
-// Others give 503.
+// statuses maps reasons to HTTP statuses, whatever the outcome. Others give
+// 503 if the call was not run, else 504.
 var statuses = map[outcome.Reason]int{
 	outcome.Rate:      fiber.StatusTooManyRequests,
 	outcome.Malformed: fiber.StatusBadRequest,
@@ -67,12 +67,12 @@
 }
 
 func status(o outcome.Outcome, reason outcome.Reason) int {
-	if o != outcome.NotRun {
-		return fiber.StatusGatewayTimeout
-	}
 	if s, ok := statuses[reason]; ok {
 		return s
 	}
+	if o != outcome.NotRun {
+		return fiber.StatusGatewayTimeout
+	}
 	return fiber.StatusServiceUnavailable
 }
 
--- a/internal/lab/wire/identity.go
+++ b/internal/lab/wire/identity.go
@@ -11,7 +11,7 @@
 	Outcome  = "Papayapath-Outcome"
 	Reason   = "Papayapath-Reason"
 	Call     = "Papayapath-Call"
-	Deadline = "Papayapath-Deadline" // ms left
+	Deadline = "Papayapath-Deadline" // Unix time in ms
 )
 
 // Header fields of the lab. They are end-to-end fields, which a proxy
--- a/internal/runtime/inbound.go
+++ b/internal/runtime/inbound.go
@@ -15,9 +15,12 @@
 // command is what the acceptor decided about an inbound call: to run it, or
 // how it ends.
 type command struct {
-	run    *message.Offer
-	answer *message.Answer
-	body   []byte // body of an answer that comes from the ledger
+	run *message.Offer
+	// deadline of the run, reckoned when it was decided: a pause of the
+	// process after the decision must not extend it.
+	deadline time.Time
+	answer   *message.Answer
+	body     []byte // body of an answer that comes from the ledger
 }
 
 // inbound is an attempt that was offered to the own backend server.
@@ -65,7 +68,7 @@
 				finish(c, sink)
 				return
 			}
-			r.runCall(in, c.run, body, sink)
+			r.runCall(in, c, body, sink)
 		case <-r.ctx.Done():
 			return
 		}
@@ -98,13 +101,14 @@
 }
 
 // runCall hands a call to the backend server and reports how it ended.
-func (r *Runtime) runCall(in *inbound, o *message.Offer, body []byte, sink reply.Sink) {
+func (r *Runtime) runCall(in *inbound, c command, body []byte, sink reply.Sink) {
+	o := c.run
 	span := r.tracer.Start("run "+o.Service, o)
 	answer := message.Answer{Outcome: outcome.NotRun, Reason: outcome.Unavailable}
 	keep := &keeper{Sink: sink, wanted: !o.Repeatable}
 	client := r.backend.Load()
 	if client != nil {
-		answer = client.Do(in.ctx, o, body, keep)
+		answer = client.Do(in.ctx, o, c.deadline, body, keep)
 	}
 	span.End(answer.Outcome, answer.Reason)
 	if client != nil && answer.Reason == outcome.Crashed && !client.Reachable(r.ctx) {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -167,8 +167,9 @@
 func (r *Runtime) do(decide func(now time.Time, out *node.Output)) {
 	out := r.outputs.Get().(*node.Output)
 	r.mu.Lock()
-	decide(time.Now(), out)
-	tasks := r.enter(out.Actions)
+	now := time.Now()
+	decide(now, out)
+	tasks := r.enter(now, out.Actions)
 	r.mu.Unlock()
 	for _, t := range tasks {
 		t()
@@ -181,17 +182,17 @@
 // enter notes actions in the tables of calls and returns what is to be done
 // once the lock is free. Entering them under the lock keeps a cancellation
 // from overtaking the start that it is meant for.
-func (r *Runtime) enter(actions []action.Action) []func() {
+func (r *Runtime) enter(now time.Time, actions []action.Action) []func() {
 	var tasks []func()
 	for _, a := range actions {
-		if t := r.enterOne(a); t != nil {
+		if t := r.enterOne(now, a); t != nil {
 			tasks = append(tasks, t)
 		}
 	}
 	return tasks
 }
 
-func (r *Runtime) enterOne(a action.Action) func() {
+func (r *Runtime) enterOne(now time.Time, a action.Action) func() {
 	switch a.Kind {
 	case action.Offer:
 		return r.enterOffer(a)
@@ -200,7 +201,7 @@
 	case action.Finish:
 		return r.enterFinish(a)
 	case action.Run:
-		r.command(a.Offer.Call, a.Offer.Attempt, command{run: a.Offer})
+		r.command(a.Offer.Call, a.Offer.Attempt, command{run: a.Offer, deadline: now.Add(a.Offer.Remaining)})
 	case action.Answer:
 		answer := *a.Answer
 		r.command(answer.Call, answer.Attempt, command{answer: &answer, body: a.Body})
--- a/pkg/dispatcher/answer.go
+++ b/pkg/dispatcher/answer.go
@@ -27,6 +27,8 @@
 		c.budget.Return(a.Unused, c.allotment)
 		return d.finish(c, a, out)
 	case outcome.NotRun:
+		// Under Epoch the node says that it is not the owner.
+		c.vouched = a.Reason != outcome.Epoch
 		return d.redirect(now, c, a.Reason, out)
 	}
 	c.budget.Return(a.Unused, c.allotment)
--- a/pkg/dispatcher/call.go
+++ b/pkg/dispatcher/call.go
@@ -41,6 +41,7 @@
 	passed   bool // uses the one repeated child call that is free for its parent
 	paid     bool // took one from the budget for being a repetition
 	unknown  bool // an earlier attempt may have run
+	vouched  bool // the owner of the key says that it has not run
 	admitted bool // took a token from the customer's quota
 
 	deadline time.Time
@@ -52,7 +53,14 @@
 
 // answer returns the refusal that ends the call without an answer of a
 // server. Its outcome is NotRun only if nothing of the request may have run.
+//
+// A key may have run at an earlier send through another node, of which only
+// its owner knows. A refusal that no owner gave is therefore unknown, unless
+// the call is not allowed at all.
 func (c *call) answer(o outcome.Outcome, reason outcome.Reason) *message.Answer {
+	if o == outcome.NotRun && !c.first.Repeatable && c.first.Key != "" && !c.vouched && !barred(reason) {
+		o = outcome.Unknown
+	}
 	c.proved = o == outcome.NotRun && !c.unknown
 	if c.proved && c.resend || c.unknown {
 		o = outcome.Unknown
@@ -86,3 +94,9 @@
 }
 
 func (c *call) excluded() []*balancer.Server { return c.tried[:c.tries] }
+
+// barred reports whether a call is refused whatever its key. No earlier send
+// of it can have run.
+func barred(reason outcome.Reason) bool {
+	return reason == outcome.Malformed || reason == outcome.TooLarge
+}
--- a/pkg/node/keys.go
+++ b/pkg/node/keys.go
@@ -24,6 +24,7 @@
 type keyGuard struct {
 	self    instance.ID
 	guard   *guard.Guard
+	ledger  *ledger.Ledger
 	tickets map[attemptID]ledger.Ticket
 	body    []byte // body of the answer that is being concluded
 	next    time.Time
@@ -34,10 +35,19 @@
 }
 
 func (k *keyGuard) start(now time.Time, service string, members []instance.ID) {
-	k.guard = guard.New(k.self, service)
+	k.ledger = ledger.New()
+	k.guard = guard.New(k.self, service, guard.WithLedger(k.ledger))
 	k.guard.Members(now, members)
 }
 
+// setWindow makes the ledger keep records for the longest window of all
+// contracts in force.
+func (k *keyGuard) setWindow(now time.Time, d time.Duration) {
+	if k.ledger != nil && d > 0 {
+		k.ledger.SetWindow(now, d)
+	}
+}
+
 // Admit asks the guard whether o may run now.
 func (k *keyGuard) Admit(now time.Time, o *message.Offer) acceptor.GuardVerdict {
 	if k.guard == nil {
--- a/pkg/node/log.go
+++ b/pkg/node/log.go
@@ -78,13 +78,14 @@
 }
 
 // reportChanges reports what has changed since the last call.
-func (n *Node) reportChanges(_ time.Time, out *Output) {
+func (n *Node) reportChanges(now time.Time, out *Output) {
 	if !n.control.ready && n.declarations.Ready() {
 		n.control.ready = true
 		out.Events = append(out.Events, Event{Kind: BecameReady})
 	}
 	if v := n.declarations.Version(); v != n.control.version {
 		n.control.version = v
+		n.keys.setWindow(now, n.longestWindow())
 		out.Events = append(out.Events, Event{Kind: VersionChanged, Detail: v.String()})
 	}
 	for _, r := range n.declarations.Results() {
--- a/pkg/node/owners.go
+++ b/pkg/node/owners.go
@@ -112,12 +112,22 @@
 func (n *Node) tickOwners(now time.Time, out *Output) {
 	if n.keys.guard == nil && n.backend.present {
 		n.keys.start(now, n.backend.service, n.owning())
+		n.keys.setWindow(now, n.longestWindow())
 	}
 	for _, e := range n.keys.tick(now) {
 		n.perform(e, out)
 	}
 }
 
+// longestWindow returns the longest window of a key in all contracts in force.
+func (n *Node) longestWindow() time.Duration {
+	var longest time.Duration
+	for c := range n.declarations.Contracts {
+		longest = max(longest, c.Window())
+	}
+	return longest
+}
+
 func (n *Node) perform(e guard.Effect, out *Output) {
 	switch e.Kind {
 	case guard.ReadLog:
