--- a/internal/lab/delay/delay.go
+++ b/internal/lab/delay/delay.go
@@ -13,6 +13,7 @@
 	"github.com/papayapath/papayapath/internal/gateway"
 	"github.com/papayapath/papayapath/internal/lab/loopback"
 	"github.com/papayapath/papayapath/internal/lab/mesh"
+	"github.com/papayapath/papayapath/internal/lab/pause"
 	"github.com/papayapath/papayapath/pkg/contract"
 	"github.com/papayapath/papayapath/pkg/importance"
 	"github.com/papayapath/papayapath/pkg/node"
@@ -133,7 +134,7 @@
 				_ = h.RecordValue(min(elapsed.Microseconds(), longest))
 			}
 		}
-		if err := wait(ctx, pause); err != nil {
+		if err := pause.For(ctx, pause); err != nil {
 			return f, err
 		}
 	}
@@ -156,17 +157,3 @@
 	}
 	return elapsed, nil
 }
-
-func wait(ctx context.Context, d time.Duration) error {
-	if d == 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/lab/experiment/experiment.go
+++ b/internal/lab/experiment/experiment.go
@@ -13,6 +13,7 @@
 	"github.com/papayapath/papayapath/internal/lab/history"
 	"github.com/papayapath/papayapath/internal/lab/load"
 	"github.com/papayapath/papayapath/internal/lab/loopback"
+	"github.com/papayapath/papayapath/internal/lab/pause"
 	"github.com/papayapath/papayapath/internal/lab/server"
 )
 
@@ -110,7 +111,7 @@
 
 // disturb takes the load through the phases.
 func (e *Experiment) disturb(ctx context.Context, mesh Mesh) error {
-	if err := wait(ctx, settle); err != nil {
+	if err := pause.For(ctx, settle); err != nil {
 		return err
 	}
 	if mesh.Ready != nil {
@@ -145,7 +146,7 @@
 	} {
 		*phase.begin = time.Now()
 		phase.enter()
-		if err := wait(ctx, phase.last); err != nil {
+		if err := pause.For(ctx, phase.last); err != nil {
 			return err
 		}
 	}
@@ -162,15 +163,3 @@
 	}
 	e.generator.Disturb(demand, hard)
 }
-
-// wait returns nil after d, or the context's error.
-func wait(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return ctx.Err()
-	case <-timer.C:
-		return nil
-	}
-}
--- a/internal/lab/mesh/variant.go
+++ b/internal/lab/mesh/variant.go
@@ -2,15 +2,21 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/papayapath/papayapath/internal/lab/deployment"
 	"github.com/papayapath/papayapath/internal/lab/experiment"
+	"github.com/papayapath/papayapath/internal/lab/pause"
 	"github.com/papayapath/papayapath/pkg/node"
 )
 
 // Name is the name of the variant in figures.
 const Name = "papayapath"
 
+// takeOver is how long the owners of a new table wait before they run keys,
+// with some room (section 9 of the design).
+const takeOver = 3 * time.Second
+
 type variant struct{}
 
 // Variant returns the variant of the experiment that runs real nodes.
@@ -36,7 +42,11 @@
 		mesh.Backends = append(mesh.Backends, r.Egress())
 	}
 	mesh.Ready = func(ctx context.Context) error {
-		return m.Await(ctx, func(n *node.Node) bool { return n.Serving(len(d.Placements())) })
+		err := m.Await(ctx, func(n *node.Node) bool { return n.Serving(len(d.Placements())) })
+		if err != nil {
+			return err
+		}
+		return pause.For(ctx, takeOver)
 	}
 	return mesh, nil
 }
