--- a/internal/lab/delay/delay.go
+++ b/internal/lab/delay/delay.go
@@ -50,7 +50,7 @@
 
 // Measure makes n calls to a backend server that answers at once, in turn
 // directly and through two nodes, with a pause between them.
-func Measure(ctx context.Context, n int, pause time.Duration) (Figures, error) {
+func Measure(ctx context.Context, n int, gap time.Duration) (Figures, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m, err := mesh.Start(ctx, 2)
@@ -70,7 +70,7 @@
 	if err := prepare(ctx, m); err != nil {
 		return Figures{}, err
 	}
-	return compare(ctx, n, pause,
+	return compare(ctx, n, gap,
 		"http://"+listener.Address()+"/", "http://"+m.Nodes()[0].Callers()+"/"+service+"/")
 }
 
@@ -117,7 +117,7 @@
 
 // compare makes the calls. Direct and mediated ones take turns, so that both
 // meet the same state of the machine.
-func compare(ctx context.Context, n int, pause time.Duration, direct, through string) (Figures, error) {
+func compare(ctx context.Context, n int, gap time.Duration, direct, through string) (Figures, error) {
 	f := Figures{
 		Direct:  hdrhistogram.New(1, longest, digits),
 		Through: hdrhistogram.New(1, longest, digits),
@@ -134,7 +134,7 @@
 				_ = h.RecordValue(min(elapsed.Microseconds(), longest))
 			}
 		}
-		if err := pause.For(ctx, pause); err != nil {
+		if err := pause.For(ctx, gap); err != nil {
 			return f, err
 		}
 	}
