Answer known keys whatever the load

Cause: a resend of a finished key was refused by a leaving or full server, although its answer was in the ledger. Change: the acceptor asks the guard on arrival about keys that need no run. TestRefusalOfKnownKeyIsUnknown now expects the guard's own reason.

--- a/pkg/acceptor/offer.go
+++ b/pkg/acceptor/offer.go
@@ -30,6 +30,13 @@
 	a.counters.offered++
 	e.arrived, e.deadline = now, now.Add(o.Remaining)
 	e.route = routeOf(o)
+	if a.settled(now, o) {
+		// The load says nothing about a key that needs no run.
+		var run bool
+		if out, run = a.check(now, e, out); !run {
+			return out
+		}
+	}
 	if reason := a.precluded(now, e); reason != outcome.None {
 		return a.refuse(now, e, reason, out)
 	}
@@ -44,6 +51,12 @@
 	}
 }
 
+// settled reports whether the guard decides about o without a run: the key has
+// ended, runs, or may not run here.
+func (a *Acceptor) settled(now time.Time, o *message.Offer) bool {
+	return !o.Repeatable && a.guard != nil && a.service == o.Service && !a.guard.Fresh(now, o)
+}
+
 // precluded returns why a call can't be run whatever the load, or None.
 func (a *Acceptor) precluded(now time.Time, e *entry) outcome.Reason {
 	switch {
--- a/pkg/acceptor/run.go
+++ b/pkg/acceptor/run.go
@@ -32,7 +32,7 @@
 	}
 	o.Remaining = e.deadline.Sub(now)
 	a.admission.Start(now.Sub(e.arrived))
-	if !o.Repeatable {
+	if !o.Repeatable && !e.guarded {
 		var run bool
 		if out, run = a.check(now, e, out); !run {
 			return out, false
