Add lab capacity, which measures the slopes of the capacity page

Cause: the design asks for a derivation of each role's cost at the long-run target from measured slopes, and nothing measured them in one place.

Change: internal/lab/capacity measures traffic, memory and processor time at four or more sizes each, fits a line to each and prints a table or JSON. The subcommand "lab capacity" runs it.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -21,7 +21,7 @@
 	commander := subcommands.NewCommander(flag.CommandLine, "lab")
 	for _, c := range []subcommands.Command{
 		commander.HelpCommand(), commander.FlagsCommand(), commander.CommandsCommand(),
-		&logCommand{}, &serverCommand{}, &loadCommand{}, &runCommand{},
+		&logCommand{}, &serverCommand{}, &loadCommand{}, &runCommand{}, &capacityCommand{},
 	} {
 		commander.Register(c, "")
 	}
--- /dev/null
+++ b/internal/lab/capacity/frame.go
@@ -0,0 +1,44 @@
+package capacity
+
+import (
+	"github.com/papayapath/papayapath/pkg/instance"
+	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/stream"
+)
+
+// Size is the length of one encoded message.
+type Size struct {
+	Name  string `json:"name"`
+	Bytes int    `json:"bytes"`
+}
+
+// frame returns a control message as a link sends it.
+func frame(from instance.ID, c message.Control) ([]byte, error) {
+	return message.Encode(message.Frame{From: from, Control: &c})
+}
+
+// lengths returns the lengths of control messages that don't grow with the
+// system.
+func lengths() ([]Size, error) {
+	version := stream.At(1, 1_000_000)
+	kinds := []struct {
+		name    string
+		control message.Control
+	}{
+		{"demand of a customer", message.Control{Demand: &message.Demand{Customer: customerName(1000), Rate: 1234.5}}},
+		{"share of a customer", message.Control{Share: &message.Share{Customer: customerName(1000), Rate: 1234.5, Nodes: 100}}},
+		{"digest of the declarations", message.Control{DeclarationsDigest: &message.DeclarationsDigest{Version: version, Hash: 1 << 63}}},
+		{"promise request", message.Control{PromiseRequest: &message.PromiseRequest{
+			Service: serviceName(1000), Epoch: 1 << 40, Table: "table-1000", From: id(1), To: id(2), Round: 1000, Duration: deadline,
+		}}},
+	}
+	var sizes []Size
+	for _, k := range kinds {
+		data, err := frame(id(1), k.control)
+		if err != nil {
+			return nil, err
+		}
+		sizes = append(sizes, Size{Name: k.name, Bytes: len(data)})
+	}
+	return sizes, nil
+}
