Time a whole node that has caught up with the log

Cause: the node that lab capacity ticked had not read the declarations, so it greeted every member, and none answered. The check of open greetings took 68% of its ticks in a profile.

Change: the node reads one declaration before it learns of the members.

Conclusion: greetings of members with the same version are never answered and stay in the list, so a node that learns of members first pays for them in each tick. That is a fault of pkg/declarations and is left to its owner.

--- a/internal/lab/capacity/nodes.go
+++ b/internal/lab/capacity/nodes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/allocator"
+	"github.com/papayapath/papayapath/pkg/declarations"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/membership"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -48,7 +49,8 @@
 	log []stream.Record // of the stream owners
 }
 
-// newIdle returns a node that knows n members and has settled.
+// newIdle returns a node that has caught up with the log, knows n members and
+// has settled.
 func newIdle(n int) (*idle, error) {
 	v := &idle{Node: node.New(id(self), node.WithPlace("region-0", domainName(0))), now: start}
 	var records []stream.Record
@@ -62,6 +64,12 @@
 	if err := v.Announce(v.now, serviceName(0), "127.0.0.1:80", slots, &v.out); err != nil {
 		return nil, err
 	}
+	// A node that has caught up with the declarations greets no member.
+	first, err := changeRecord(0)
+	if err != nil {
+		return nil, err
+	}
+	v.Follow(v.now, declarations.Stream, 0, stream.Batch{Generation: 1, End: 1, Records: []stream.Record{first}}, &v.out)
 	v.Follow(v.now, membership.Stream, 0, stream.Batch{Generation: 1, End: int64(n), Records: records}, &v.out)
 	for end := v.now.Add(settling); v.now.Before(end); {
 		v.tick()
