--- a/internal/lab/capacity/change.go
+++ b/internal/lab/capacity/change.go
@@ -2,77 +2,17 @@
 
 import (
 	"math/rand/v2"
-	"strconv"
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/contract"
 	"github.com/papayapath/papayapath/pkg/declarations"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/stream"
 )
 
-// batch is the number of contracts in one record while a state is filled.
-const batch = 100
-
 // repeats is the number of changes by which one change is timed.
 const repeats = 50
 
-// publisher keeps a state and the log that it follows.
-type publisher struct {
-	*declarations.State
-	offset int64
-}
-
-// declared returns a state with n contracts in force.
-func declared(n int) any { return newPublisher(n) }
-
-func newPublisher(n int) *publisher {
-	random := rand.New(rand.NewPCG(1, 1))
-	p := &publisher{State: declarations.New(id(self), random)}
-	for from := 0; from < n; from += batch {
-		var documents []contract.Document
-		for i := from; i < min(from+batch, n); i++ {
-			documents = append(documents, terms(i, targetServices))
-		}
-		p.publish(documents)
-	}
-	p.Results()
-	return p
-}
-
-// record returns the next record of the log.
-func (p *publisher) record(documents []contract.Document) (stream.Record, error) {
-	data, err := message.Encode(message.DeclarationRecord{Change: &message.Change{
-		Base: p.Version(), Operator: "operator", Contracts: documents,
-	}})
-	return stream.Record{Offset: p.offset, ID: "change-" + strconv.FormatInt(p.offset, 10), Data: data}, err
-}
-
-// publish puts documents into force by the log and returns the size of the
-// record and the time to apply it.
-func (p *publisher) publish(documents []contract.Document) (int, time.Duration, error) {
-	r, err := p.record(documents)
-	if err != nil {
-		return 0, 0, err
-	}
-	p.offset++
-	began := time.Now()
-	p.Log(start, stream.Batch{Generation: 1, End: p.offset, Records: []stream.Record{r}})
-	return len(r.Data), time.Since(began), nil
-}
-
-// cost is what one change takes at one node.
-type cost struct {
-	record  float64 // bytes of the record in the log
-	update  float64 // bytes of the message to one peer
-	sends   float64 // messages
-	apply   float64 // µs to apply the record
-	pass    float64 // µs to make and encode the messages
-	receive float64 // µs to decode and apply a message
-	whole   float64 // bytes of the whole table, for a node that starts
-}
-
 // changes measures what one change of the configuration takes.
 func changes(scale int) ([]Series, error) {
 	const by = "contracts"
@@ -101,6 +41,17 @@
 	return series, nil
 }
 
+// cost is what one change takes at one node.
+type cost struct {
+	record  float64 // bytes of the record in the log
+	update  float64 // bytes of the message to one peer
+	sends   float64 // messages
+	apply   float64 // µs to apply the record
+	pass    float64 // µs to make and encode the messages
+	receive float64 // µs to decode and apply a message
+	whole   float64 // bytes of the whole table, for a node that starts
+}
+
 // costOf publishes changes to a state of n contracts and passes each on to
 // another state. The fastest one counts.
 func costOf(n int) (cost, error) {
