Measure the loss of a failure domain in lab capacity

Change: after the single death, every node of one failure domain goes down, and the traffic and the time of the last node's last finding are measured.

--- a/internal/lab/capacity/members.go
+++ b/internal/lab/capacity/members.go
@@ -24,7 +24,10 @@
 	deathMessages := Series{Name: "one death, sent beyond rest", Axis: by, Unit: "messages per node"}
 	deathBusy := Series{Name: "10 s with one death, processor", Axis: by, Unit: "µs/s per node"}
 	found := Series{Name: "one death, known at the last node", Axis: by, Unit: "ms"}
+	domain := Series{Name: "a failure domain lost, sent beyond rest", Axis: by, Unit: "B per node left"}
+	domainFound := Series{Name: "a failure domain lost, known at the last node", Axis: by, Unit: "ms"}
 	for _, n := range sizes {
+		n = max(n, 2*domains) // some nodes must be left without a failure domain
 		w, err := newNetwork(n)
 		if err != nil {
 			return nil, err
@@ -41,6 +44,11 @@
 		if err != nil {
 			return nil, err
 		}
+		left := w.lose(1)
+		lost, err := w.run(period)
+		if err != nil {
+			return nil, err
+		}
 		nodes, seconds := float64(n), period.Seconds()
 		bytes.add(n, float64(rest.bytes)/nodes/seconds)
 		messages.add(n, float64(rest.messages)/nodes/seconds)
@@ -49,10 +57,13 @@
 		deathMessages.add(n, float64(dead.messages-rest.messages)/nodes)
 		deathBusy.add(n, micros(dead.busy)/nodes/seconds)
 		found.add(n, micros(dead.last)/1000)
+		domain.add(n, (float64(lost.bytes)-float64(rest.bytes)/nodes*float64(left))/float64(left))
+		domainFound.add(n, micros(lost.last)/1000)
 	}
 	return []Series{
 		bytes.fitted(), messages.fitted(), busy.fitted(),
 		death.fitted(), deathMessages.fitted(), deathBusy.fitted(), found.fitted(),
+		domain.fitted(), domainFound.fitted(),
 	}, nil
 }
 
--- a/internal/lab/capacity/network.go
+++ b/internal/lab/capacity/network.go
@@ -74,6 +74,18 @@
 	return v
 }
 
+// lose ends all nodes of a failure domain and returns how many are left.
+func (w *network) lose(domain int) int {
+	left := 0
+	for i, v := range w.nodes {
+		v.down = v.down || i%domains == domain
+		if !v.down {
+			left++
+		}
+	}
+	return left
+}
+
 // run lets time pass and returns what was used. The processor time contains
 // the codec and, as a small part, the network itself.
 func (w *network) run(d time.Duration) (usage, error) {
