--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// stopTimeout bounds a graceful stop. Calls that last longer are cut and
-	// reported as unknown.
+	// stopTimeout bounds a graceful stop. Calls that last longer are cut,
+	// and their callers can't know whether they ran.
 	stopTimeout = 30 * time.Second
 	// reloadInterval is how often the files of keys are read again.
 	reloadInterval = time.Minute
--- a/internal/runtime/stop.go
+++ b/internal/runtime/stop.go
@@ -16,8 +16,9 @@
 
 // Stop stops the node without cutting calls: it refuses new work, finishes
 // and answers what runs, tells the others that it leaves, and closes. Calls
-// that have not ended when ctx ends are cut and answered as unknown; Stop then
-// returns a *CutError.
+// that have not ended when ctx ends are cut: a caller's connection closes
+// without an answer, and for another node the call is unknown. Stop then returns
+// a *CutError.
 func (r *Runtime) Stop(ctx context.Context) error {
 	r.Drain()
 	err := r.callers.Close(ctx)
