Move the subcommands of lab out of package main

Cause: tests of a main package can't be in an external test package. Change: internal/lab/program, tested from outside; cmd/lab only calls it.

--- /dev/null
+++ b/internal/lab/program/doc.go
@@ -0,0 +1,2 @@
+// Package program implements the subcommands of lab.
+package program
--- a/cmd/lab/log.go
+++ b/internal/lab/program/log.go
@@ -1,4 +1,4 @@
-package main
+package program
 
 import (
 	"context"
--- a/cmd/lab/main_test.go
+++ b/internal/lab/program/program_test.go
@@ -1,4 +1,4 @@
-package main
+package program_test
 
 import (
 	"context"
@@ -6,15 +6,14 @@
 	"testing"
 	"time"
 
-	"github.com/google/subcommands"
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/internal/lab/program"
 )
 
-// The tests run the program itself, which is why they are inside the package
-// main.
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"lab": func() { os.Exit(run()) }})
+	testscript.Main(m, map[string]func(){"lab": func() { os.Exit(program.Main(os.Args[1:])) }})
 }
 
 // Guards against exit codes and messages other than the documented ones.
@@ -28,10 +27,10 @@
 func TestStandInsEndWithContext(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
 	defer cancel()
-	for _, c := range []subcommands.Command{
-		&logCommand{listen: anyPort, rate: 1, count: 1, age: time.Hour},
-		&serverCommand{listen: anyPort, node: "127.0.0.1:1", deployment: "regie", service: "calendars"},
+	for _, arguments := range [][]string{
+		{"log"},
+		{"server", "-node", "127.0.0.1:1", "-deployment", "regie", "-service", "calendars"},
 	} {
-		require.Equal(t, subcommands.ExitSuccess, c.Execute(ctx, nil), c.Name())
+		require.Zero(t, program.Run(ctx, arguments), arguments)
 	}
 }
