Answer keyed calls truthfully before the node is ready

Cause: a node that had not caught up answered 'not run' also for keys that may have run through another node; status showed the lease of a node without one as - ms; a cut call of the node itself counted twice; no test stopped a node with requests in flight. Change: such calls are unknown, and the three faults are corrected.

--- a/internal/lab/virtual/host.go
+++ b/internal/lab/virtual/host.go
@@ -12,7 +12,6 @@
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/node"
-	"github.com/papayapath/papayapath/pkg/outcome"
 )
 
 const (
@@ -244,7 +243,7 @@
 func (h *host) call(r *dispatcher.Request, parent message.CallID, done func(*message.Answer)) {
 	h.do(func(now time.Time, out *node.Output) {
 		if !h.node.Ready() {
-			done(&message.Answer{Outcome: outcome.NotRun, Reason: outcome.Unavailable})
+			done(node.Unready(r))
 			return
 		}
 		if r.Origin == dispatcher.Backend {
--- a/internal/runtime/outbound.go
+++ b/internal/runtime/outbound.go
@@ -36,7 +36,7 @@
 		r.calls[id] = &outbound{exchange: e}
 	})
 	if !ready {
-		e.Finish(&message.Answer{Outcome: outcome.NotRun, Reason: outcome.Unavailable})
+		e.Finish(node.Unready(request))
 		return e, func() {}
 	}
 	return e, func() {
--- a/internal/runtime/stop.go
+++ b/internal/runtime/stop.go
@@ -90,9 +90,16 @@
 	r.stop(ctx)
 }
 
-// unfinished returns the number of calls that have not ended.
+// unfinished returns the number of calls that have not ended. A call that is
+// made and run at this node counts once.
 func (r *Runtime) unfinished() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.calls) + len(r.inbound)
+	n := len(r.calls)
+	for id := range r.inbound {
+		if id.call.Node != r.self {
+			n++
+		}
+	}
+	return n
 }
--- a/pkg/node/call.go
+++ b/pkg/node/call.go
@@ -7,6 +7,7 @@
 	"github.com/papayapath/papayapath/pkg/dispatcher"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/priority"
 )
 
@@ -29,6 +30,16 @@
 	return id
 }
 
+// Unready returns the answer to a call that arrives before the node is ready.
+// A key may have run at an earlier send through another node.
+func Unready(r *dispatcher.Request) *message.Answer {
+	a := &message.Answer{Outcome: outcome.NotRun, Reason: outcome.Unavailable}
+	if r.Key != "" {
+		a.Outcome = outcome.Unknown
+	}
+	return a
+}
+
 // Parent returns the offer of a call that runs on the own backend server.
 func (n *Node) Parent(call message.CallID) (*message.Offer, bool) {
 	return n.acceptor.InFlight(call)
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -61,7 +61,7 @@
 // Lease returns how much longer calls that must not run twice may run here. It
 // is negative if they may not.
 func (s Status) Lease() time.Duration {
-	if s.node.keys.guard == nil {
+	if s.node.keys.guard == nil || s.node.keys.guard.LeaseEnd().IsZero() {
 		return -1
 	}
 	return s.node.keys.guard.LeaseEnd().Sub(s.now)
