Probe a fixed set of members and bound the memory of a node

Cause: random probing of 7,200 members opened 5.8 connections a second, about 24 ms/s of processor time and an estimated 35 KB/s of handshakes (CAPACITY.md). Without a memory limit the heap may grow to twice the 157 MB of full tables. Change: a node probes the 32 members with the largest rendezvous hashes with it and sends digests to them only; the node command sets a memory limit.

--- a/internal/command/node.go
+++ b/internal/command/node.go
@@ -4,6 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/google/subcommands"
@@ -24,6 +26,10 @@
 	stopTimeout = 30 * time.Second
 	// reloadInterval is how often the files of keys are read again.
 	reloadInterval = time.Minute
+	// memoryLimit makes the garbage collector run earlier when the heap nears
+	// 256 MB, which is what a node may use. Full tables take 157 MB
+	// (docs/CAPACITY.md). GOMEMLIMIT takes precedence.
+	memoryLimit = 224 << 20
 )
 
 // nodeCommand runs a node until it is interrupted.
@@ -54,6 +60,9 @@
 }
 
 func (c *nodeCommand) run(ctx context.Context, s Streams) error {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(memoryLimit)
+	}
 	own, err := settings.Load(c.settings)
 	if err != nil {
 		return err
--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -14,6 +14,7 @@
 	defaultInterval = 200 * time.Millisecond
 	defaultTimeout  = 80 * time.Millisecond
 	defaultRelays   = 3
+	defaultPartners = 32
 )
 
 // pauseFactor is the number of intervals without a Tick after which the node
@@ -52,7 +53,13 @@
 	timeout  time.Duration
 	relays   int
 
-	ring    ring
+	ring     ring // all targets
+	partners ring // those that this node probes itself
+	width    int  // number of partners
+	seed     uint64
+	ranks    []ranked
+	changed  bool // targets have changed since partners were chosen
+
 	seq     uint64
 	probes  []probe // in the order in which they were sent
 	relayed map[uint64]relay
@@ -91,12 +98,18 @@
 // WithRelays sets how many others are asked (default 3).
 func WithRelays(n int) Option { return func(t *Detector) { t.relays = n } }
 
+// WithPartners sets how many targets the node probes itself (default 32). The
+// others are probed by other nodes.
+func WithPartners(n int) Option { return func(t *Detector) { t.width = max(n, 1) } }
+
 // New returns a Detector of the node self without targets.
 func New(self instance.ID, random *rand.Rand, options ...Option) *Detector {
 	d := &Detector{
 		self: self, random: random,
 		interval: defaultInterval, timeout: defaultTimeout, relays: defaultRelays,
-		ring:    ring{places: make(map[instance.ID]int)},
+		ring:     ring{places: make(map[instance.ID]int)},
+		partners: ring{places: make(map[instance.ID]int)},
+		width:    defaultPartners, seed: hashOf(self),
 		relayed: make(map[uint64]relay),
 	}
 	for _, o := range options {
@@ -106,10 +119,24 @@
 }
 
 // Add makes id a target, at a random place in the order of probes.
-func (d *Detector) Add(id instance.ID) { d.ring.add(id, d.random) }
+func (d *Detector) Add(id instance.ID) {
+	d.ring.add(id, d.random)
+	d.changed = true
+}
 
 // Remove ends the probing of id.
-func (d *Detector) Remove(id instance.ID) { d.ring.remove(id) }
+func (d *Detector) Remove(id instance.ID) {
+	d.ring.remove(id)
+	d.partners.remove(id)
+	d.changed = true
+}
+
+// Partners returns the targets that the node probes itself, in no order. The
+// caller must not change the slice or keep it.
+func (d *Detector) Partners() []instance.ID {
+	d.refresh()
+	return d.partners.ids
+}
 
 // Targets returns the targets in no order. The caller must not change the
 // slice or keep it.
@@ -144,7 +171,8 @@
 		return out, paused
 	}
 	d.due = now.Add(d.interval)
-	if target, ok := d.ring.next(d.random); ok {
+	d.refresh()
+	if target, ok := d.partners.next(d.random); ok {
 		out = d.probe(now, target, out)
 	}
 	return out, paused
--- a/pkg/membership/gossip.go
+++ b/pkg/membership/gossip.go
@@ -167,9 +167,10 @@
 	return pick, count > 0
 }
 
-// summarize sends a digest to a random member.
+// summarize sends a digest to a random one of the members that this node
+// probes, to which it has connections.
 func (m *Membership) summarize(now time.Time, out []Send) []Send {
-	peers := m.detector.Targets()
+	peers := m.detector.Partners()
 	if now.Before(m.repairDue) || len(peers) == 0 {
 		return out
 	}
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -162,6 +162,11 @@
 // The caller must not change the slice or keep it.
 func (m *Membership) Peers() []instance.ID { return m.detector.Targets() }
 
+// Partners returns the members that this node probes itself. To them it has
+// connections, which makes them the cheapest to send to. The caller must not
+// change the slice or keep it.
+func (m *Membership) Partners() []instance.ID { return m.detector.Partners() }
+
 // Members calls yield for each member that is not known to be gone, without
 // this node, until yield returns false.
 func (m *Membership) Members(yield func(Member) bool) {
--- a/pkg/node/control.go
+++ b/pkg/node/control.go
@@ -79,7 +79,7 @@
 	n.tickBackend(now, out)
 	out.Sends = n.membership.Tick(now, out.Sends)
 	n.applyMembers(now, out)
-	out.Sends = n.declarations.Tick(now, n.membership.Peers(), out.Sends)
+	out.Sends = n.declarations.Tick(now, n.membership.Partners(), out.Sends)
 	n.allocator.Tick(now)
 	n.sendDemands(now, out)
 	n.sendSuspicions(now, out)
