Drop connections without a race, and keep those to newer processes

Drop also closed the connection to a newer process at the address of a failed one. Change: Drop reads under the lock, marks a connection that is still opening, and leaves one to another incarnation alone.

--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -37,7 +37,8 @@
 		return &SendError{to: to, cause: err}
 	}
 	_ = str.Close()
-	if err := receive(str, sink); err != nil {
+	heard := func(from instance.ID) { l.note(conn, from) }
+	if err := receive(str, heard, sink); err != nil {
 		reset(str)
 		return &SendError{to: to, sent: true, cause: err}
 	}
@@ -49,8 +50,9 @@
 	str.CancelWrite(resetCode)
 }
 
-// receive passes the frames of an answer to sink up to the Answer itself.
-func receive(r io.Reader, sink reply.Sink) error {
+// receive passes the frames of an answer to sink up to the Answer itself. It
+// calls heard with the sender of the last one.
+func receive(r io.Reader, heard func(instance.ID), sink reply.Sink) error {
 	frames := message.NewFrameReader(r)
 	for {
 		frame, err := frames.Next()
@@ -61,6 +63,7 @@
 			return err
 		}
 		if frame.Answer != nil {
+			heard(frame.From)
 			return nil
 		}
 	}
@@ -92,16 +95,17 @@
 		if err != nil {
 			return
 		}
-		workers.Go(func() { l.serveCall(str, address) })
+		workers.Go(func() { l.serveCall(conn, str, address) })
 	}
 }
 
-func (l *Link) serveCall(str *quic.Stream, address netip.AddrPort) {
+func (l *Link) serveCall(conn *quic.Conn, str *quic.Stream, address netip.AddrPort) {
 	frame, err := message.NewFrameReader(str).Next()
 	if err != nil || frame.Offer == nil || frame.From.Address() != address {
 		reset(str)
 		return
 	}
+	l.note(conn, frame.From)
 	sink := &streamSink{link: l, stream: str}
 	l.handler.Offer(str.Context(), frame.From, frame.Offer, frame.Data, sink)
 	if sink.finished {
--- a/internal/link/control.go
+++ b/internal/link/control.go
@@ -51,17 +51,17 @@
 		if err != nil {
 			return
 		}
-		l.serveControl(str, address)
+		l.serveControl(conn, str, address)
 		str.CancelRead(resetCode)
 	}
 }
 
-func (l *Link) serveControl(r io.Reader, address netip.AddrPort) {
+func (l *Link) serveControl(conn *quic.Conn, r io.Reader, address netip.AddrPort) {
 	frame, err := message.NewFrameReader(r).Next()
 	if err != nil {
 		return
 	}
-	l.deliver(frame, address)
+	l.deliver(conn, frame, address)
 }
 
 func (l *Link) serveDatagrams(conn *quic.Conn, address netip.AddrPort) {
@@ -74,13 +74,14 @@
 		if err != nil {
 			continue
 		}
-		l.deliver(&frame, address)
+		l.deliver(conn, &frame, address)
 	}
 }
 
 // deliver passes a control message on if its sender is the node at address.
-func (l *Link) deliver(frame *message.Frame, address netip.AddrPort) {
+func (l *Link) deliver(conn *quic.Conn, frame *message.Frame, address netip.AddrPort) {
 	if frame.Control != nil && frame.From.Address() == address {
+		l.note(conn, frame.From)
 		l.handler.Control(frame.From, frame.Control)
 	}
 }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -65,10 +65,14 @@
 
 // connection is a connection that is open or being opened. ready is closed
 // when conn or err is set.
+//
+// Link.mu guards the other fields.
 type connection struct {
-	ready chan struct{}
-	conn  *quic.Conn
-	err   error
+	ready       chan struct{}
+	conn        *quic.Conn
+	err         error
+	incarnation uint64 // of the node at the other end; 0 until it has sent something
+	dropped     bool   // to be closed once it is open
 }
 
 // Listen opens the socket of a link and returns it with its address, in which
@@ -131,15 +135,30 @@
 	l.tasks.Wait()
 }
 
-// Drop closes the connection to the node at address, if there is one. It is
-// for a node that is known to have failed.
-func (l *Link) Drop(address netip.AddrPort) {
+// Drop closes the connection to a node that is known to have failed. The
+// connection to a newer incarnation at its address stays open.
+func (l *Link) Drop(id instance.ID) {
 	l.mu.Lock()
-	c := l.conns[address]
-	delete(l.conns, address)
+	c := l.conns[id.Address()]
+	if c == nil || c.incarnation != 0 && c.incarnation != id.Incarnation() {
+		l.mu.Unlock()
+		return
+	}
+	delete(l.conns, id.Address())
+	c.dropped = true
+	conn := c.conn
 	l.mu.Unlock()
-	if c != nil && c.conn != nil {
-		_ = c.conn.CloseWithError(0, "dropped")
+	if conn != nil {
+		_ = conn.CloseWithError(0, "dropped")
+	}
+}
+
+// note records which incarnation is at the other end of conn.
+func (l *Link) note(conn *quic.Conn, from instance.ID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if c := l.conns[from.Address()]; c != nil && c.conn == conn {
+		c.incarnation = from.Incarnation()
 	}
 }
 
@@ -201,11 +220,17 @@
 	if err != nil && l.conns[address] == c {
 		delete(l.conns, address)
 	}
+	dropped := c.dropped
 	l.mu.Unlock()
 	close(c.ready)
-	if err == nil {
-		l.serve(conn, address)
+	if err != nil {
+		return
+	}
+	if dropped {
+		_ = conn.CloseWithError(0, "dropped")
+		return
 	}
+	l.serve(conn, address)
 }
 
 // serve handles what the node at address sends on conn until conn ends.
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -170,3 +170,23 @@
 	require.NoError(t, client.Control(t.Context(), to, &message.Control{}))
 	require.Equal(t, from, <-h.control)
 }
+
+// Guards against a race between dropping a connection and opening it, and
+// against closing the connection to a newer process at the same address.
+func TestDrop(t *testing.T) {
+	a := newAuthority(t)
+	client, _ := open(t, a, newHandler())
+	_, to := open(t, a, newHandler())
+	older := instance.New(to.Address(), to.Incarnation()-1)
+	var wait sync.WaitGroup
+	for range 20 {
+		wait.Go(func() { _ = client.Offer(t.Context(), to, &message.Offer{}, nil, &collector{}) })
+		wait.Go(func() { client.Drop(to) })
+	}
+	wait.Wait()
+	require.NoError(t, client.Offer(t.Context(), to, &message.Offer{}, nil, &collector{}))
+	held := make(chan error)
+	go func() { held <- client.Offer(t.Context(), to, &message.Offer{}, make([]byte, 1<<20), &collector{}) }()
+	client.Drop(older)
+	require.NoError(t, <-held)
+}
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -227,7 +227,7 @@
 		r.tasks.Go(func() { r.read(read) })
 	}
 	for _, id := range out.Dropped {
-		r.link.Drop(id.Address())
+		r.link.Drop(id)
 	}
 	for _, e := range out.Events {
 		r.notify(e)
