Hold requests until all sockets of a node are open

Cause: a message that came in before the last socket was open would have met adapters that were not there yet. Change: requests wait until the node is open or stops.

--- a/internal/runtime/backend.go
+++ b/internal/runtime/backend.go
@@ -40,6 +40,9 @@
 }
 
 func (r *Runtime) announce(a announcement) error {
+	if !r.isOpen() {
+		return &StoppedError{}
+	}
 	if c := r.backend.Load(); c == nil || c.address != a.Address {
 		r.backend.Store(&backendClient{Backend: backend.New(a.Address), address: a.Address})
 		if c != nil {
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -32,7 +32,9 @@
 
 // Control takes a control message of another node.
 func (r *Runtime) Control(from instance.ID, m *message.Control) {
-	r.do(func(now time.Time, out *node.Output) { r.node.Receive(now, from, *m, out) })
+	if r.isOpen() {
+		r.do(func(now time.Time, out *node.Output) { r.node.Receive(now, from, *m, out) })
+	}
 }
 
 // send sends control messages. A message that can't be sent is lost; the
--- a/internal/runtime/error.go
+++ b/internal/runtime/error.go
@@ -11,3 +11,9 @@
 
 // Open returns the number of calls that were cut.
 func (e *CutError) Open() int { return e.open }
+
+// StoppedError reports a request to a node that is stopping.
+type StoppedError struct{}
+
+// Error says that the node is stopping.
+func (*StoppedError) Error() string { return "the node is stopping" }
--- a/internal/runtime/inbound.go
+++ b/internal/runtime/inbound.go
@@ -33,6 +33,9 @@
 // Offer takes a call that a node offers to the own backend server, and answers
 // it. ctx ends when that node withdraws the call.
 func (r *Runtime) Offer(ctx context.Context, from instance.ID, o *message.Offer, body []byte, sink reply.Sink) {
+	if !r.isOpen() {
+		return
+	}
 	in := &inbound{commands: make(chan command, 2)}
 	in.ctx, in.abort = context.WithCancel(r.ctx)
 	defer in.abort()
--- a/internal/runtime/outbound.go
+++ b/internal/runtime/outbound.go
@@ -24,9 +24,9 @@
 	e := exchange.New(q.Body)
 	request := newRequest(q)
 	var id message.CallID
-	ready := true
+	ready := r.isOpen()
 	r.do(func(now time.Time, out *node.Output) {
-		if ready = r.node.Ready(); !ready {
+		if ready = ready && r.node.Ready(); !ready {
 			return
 		}
 		if q.Internal {
--- a/internal/runtime/runtime.go
+++ b/internal/runtime/runtime.go
@@ -50,6 +50,7 @@
 	log     *platform.Client
 	tracer  *trace.Tracer
 	backend atomic.Pointer[backendClient]
+	opened  chan struct{} // closed when all sockets are open
 	sends   chan message.Send
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -102,6 +103,7 @@
 		self:     instance.New(address, uint64(time.Now().UnixMilli())),
 		tracer:   trace.New("", nil),
 		notify:   func(node.Event) {},
+		opened:   make(chan struct{}),
 		sends:    make(chan message.Send, sendQueue),
 		calls:    make(map[message.CallID]*outbound),
 		inbound:  make(map[attemptID]*inbound),
@@ -132,8 +134,22 @@
 	if r.egress, err = gateway.Listen(r.settings.Backend, r, gateway.ForBackend(), r.announceRoute(), r.drainRoute()); err != nil {
 		return err
 	}
-	r.callers, err = gateway.Listen(r.settings.Callers, r)
-	return err
+	if r.callers, err = gateway.Listen(r.settings.Callers, r); err != nil {
+		return err
+	}
+	close(r.opened)
+	return nil
+}
+
+// isOpen waits until all sockets are open, since requests may come to the
+// first one before the last one is there. It returns false if the node stops.
+func (r *Runtime) isOpen() bool {
+	select {
+	case <-r.opened:
+		return true
+	case <-r.ctx.Done():
+		return false
+	}
 }
 
 // run starts the goroutines that live as long as the node.
