Name panics and write JSON answers of the lab in one place

Cause: some panics passed an error or a bare text on, a fake returned an untyped error, and two servers of the lab had the same function. Change: named constants, a typed error, internal/lab/jsonbody.

--- a/internal/lab/logserver/serve.go
+++ b/internal/lab/logserver/serve.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/internal/lab/jsonbody"
 	"github.com/papayapath/papayapath/internal/lab/loopback"
 )
 
@@ -86,7 +87,7 @@
 		return true
 	}
 	generation, offset, lost := l.append(name, request.ID, request.Data, now)
-	answer(r, struct {
+	jsonbody.Write(r, struct {
 		Generation uint64 `json:"generation"`
 		Offset     uint64 `json:"offset"`
 	}{generation, offset})
@@ -102,7 +103,7 @@
 		limit = defaultRecords
 	}
 	wait := time.Duration(arguments.GetUintOrZero("wait")) * time.Millisecond
-	answer(r, l.await(ctx, name, from, limit, min(wait, maxWait)))
+	jsonbody.Write(r, l.await(ctx, name, from, limit, min(wait, maxWait)))
 	return true
 }
 
@@ -125,14 +126,3 @@
 	}
 	return p
 }
-
-// answer writes value as JSON.
-func answer(r *fasthttp.RequestCtx, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		r.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	r.SetContentType("application/json")
-	r.SetBody(body)
-}
--- a/internal/lab/server/control.go
+++ b/internal/lab/server/control.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/jsonbody"
 )
 
 // Paths that the server answers besides those of its service.
@@ -49,16 +50,16 @@
 	switch string(r.Path()) {
 	case healthPath:
 		s.clock.gate(life)
-		writeJSON(r, struct {
+		jsonbody.Write(r, struct {
 			Healthy bool `json:"healthy"`
 		}{s.report().healthy})
 	case loadPath:
 		s.clock.gate(life)
-		writeJSON(r, struct {
+		jsonbody.Write(r, struct {
 			Load int64 `json:"load"`
 		}{s.report().load})
 	case runsPath:
-		writeJSON(r, count(s.history.Runs()))
+		jsonbody.Write(r, count(s.history.Runs()))
 	case controlPath:
 		s.handleChange(r)
 	default:
@@ -149,13 +150,3 @@
 	}
 	return c
 }
-
-func writeJSON(r *fasthttp.RequestCtx, value any) {
-	body, err := json.Marshal(value)
-	if err != nil {
-		r.Error(err.Error(), fasthttp.StatusInternalServerError)
-		return
-	}
-	r.SetContentType("application/json")
-	r.SetBody(body)
-}
--- a/internal/lab/virtual/log.go
+++ b/internal/lab/virtual/log.go
@@ -1,8 +1,6 @@
 package virtual
 
 import (
-	"errors"
-
 	"github.com/papayapath/papayapath/pkg/guard"
 	"github.com/papayapath/papayapath/pkg/node"
 	"github.com/papayapath/papayapath/pkg/stream"
@@ -27,8 +25,10 @@
 
 func newLog() *log { return &log{generation: 1, streams: make(map[string]*records)} }
 
-// errDown is the result of every request while the log is down.
-var errDown = errors.New("log is down")
+// downError is the result of every request while the log is down.
+type downError struct{}
+
+func (downError) Error() string { return "log is down" }
 
 func (l *log) stream(name string) *records {
 	s := l.streams[name]
@@ -56,7 +56,7 @@
 
 func (l *log) read(name string, from int64) (stream.Batch, error) {
 	if l.down {
-		return stream.Batch{}, errDown
+		return stream.Batch{}, downError{}
 	}
 	s := l.stream(name)
 	end := s.first + int64(len(s.list))
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -27,6 +27,9 @@
 	most  = 1500 * time.Microsecond
 )
 
+// panicContract is the text of the panic for contracts that can't be encoded.
+const panicContract = "virtual: contract can't be encoded"
+
 // epoch is when virtual time starts.
 var epoch = time.Date(2026, time.January, 5, 8, 0, 0, 0, time.UTC)
 
@@ -104,7 +107,7 @@
 	}
 	data, err := message.Encode(message.DeclarationRecord{Change: change})
 	if err != nil {
-		panic(err)
+		panic(panicContract)
 	}
 	w.records++
 	w.log.append(node.Append{
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -70,6 +70,9 @@
 	stats    Stats
 }
 
+// panicSize is the text of the panic for a table without room.
+const panicSize = "dispatcher: size of a table is below 1"
+
 // Option sets a property of a Dispatcher.
 type Option func(*Dispatcher)
 
@@ -120,7 +123,7 @@
 func table[K comparable, V any](size int) *simplelru.LRU[K, V] {
 	t, err := simplelru.NewLRU[K, V](size, nil)
 	if err != nil {
-		panic(err) // only for a size below 1, which no caller passes
+		panic(panicSize)
 	}
 	return t
 }
--- a/pkg/message/codec.go
+++ b/pkg/message/codec.go
@@ -13,6 +13,10 @@
 	maxNestedLevels  = 16
 )
 
+// panicOptions is the text of the panic for codec options that contradict each
+// other.
+const panicOptions = "message: invalid codec options"
+
 var (
 	encoder = mustEncoder()
 	decoder = mustDecoder()
@@ -52,7 +56,7 @@
 func mustEncoder() cbor.EncMode {
 	mode, err := cbor.CoreDetEncOptions().EncMode()
 	if err != nil {
-		panic(err)
+		panic(panicOptions)
 	}
 	return mode
 }
@@ -66,7 +70,7 @@
 		MaxNestedLevels:  maxNestedLevels,
 	}.DecMode()
 	if err != nil {
-		panic(err)
+		panic(panicOptions)
 	}
 	return mode
 }
