--- a/internal/lab/figures/figures.go
+++ b/internal/lab/figures/figures.go
@@ -26,6 +26,7 @@
 	Recovery      float64
 	Recovered     bool
 	Amplification float64 // runs on backend servers per customer request; without retries and failures the depth of the chains
+	Wasted        float64 // share of the runs whose customer request never got its whole answer
 	Verdict       checker.Verdict
 	Steady        Delays
 	Disturbance   Delays
@@ -64,10 +65,30 @@
 	if len(requests) > 0 {
 		f.Amplification = float64(len(h.Runs())) / float64(len(requests))
 	}
+	f.Wasted = wasted(requests, h.Runs())
 	f.Recovery, f.Recovered = recovery(requests, p)
 	return f
 }
 
+// wasted returns the share of the runs whose customer request never got its
+// whole answer.
+func wasted(requests []history.Request, runs []history.Run) float64 {
+	complete := make(map[string]bool, len(requests))
+	for _, r := range requests {
+		complete[r.Root] = r.Complete()
+	}
+	count := 0
+	for _, r := range runs {
+		if !complete[r.Root] {
+			count++
+		}
+	}
+	if len(runs) == 0 {
+		return 0
+	}
+	return float64(count) / float64(len(runs))
+}
+
 // goodput returns the whole answers a second between two times. A request
 // counts once, however often it was sent.
 func goodput(requests []history.Request, from, to time.Time) float64 {
--- a/internal/lab/figures/figures_test.go
+++ b/internal/lab/figures/figures_test.go
@@ -62,6 +62,7 @@
 	require.InDelta(t, 100, f.After, 1)
 	require.InDelta(t, 0.25, f.Share, 0.01)
 	require.InDelta(t, 2, f.Amplification, 0)
+	require.InDelta(t, 200.0/1700, f.Wasted, 0.001)
 	require.InDelta(t, 10, f.Steady.P99, 0.1)
 	require.True(t, f.Recovered)
 	require.Zero(t, f.Recovery)
--- a/internal/lab/virtual/host.go
+++ b/internal/lab/virtual/host.go
@@ -36,11 +36,10 @@
 	server  *server
 	service deployment.Service
 
-	up      bool
-	stopped bool      // stops gracefully: accepts no callers
-	paused  time.Time // end of a pause of the node's process
-	calls   map[message.CallID]func(*message.Answer)
-	offers  map[attempt]instance.ID // attempts that were sent and not answered
+	up     bool
+	paused time.Time // end of a pause of the node's process
+	calls  map[message.CallID]func(*message.Answer)
+	offers map[attempt]instance.ID // attempts that were sent and not answered
 }
 
 // attempt names one attempt of a call.
@@ -58,7 +57,7 @@
 	h.node = node.New(h.id,
 		node.WithPlace("virtual", domainName(h.domain)),
 		node.WithRandom(rand.New(rand.NewPCG(w.seed, w.incarnation))))
-	h.up, h.stopped = true, false
+	h.up = true
 	h.calls = make(map[message.CallID]func(*message.Answer))
 	h.offers = make(map[attempt]instance.ID)
 	h.server = newServer(h)
