--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -47,7 +47,7 @@
 	require.NoError(t, report.New([]figures.Figures{
 		sample("regie", "naive", false), sample("regie", "other", true),
 	}).Table(&b))
-	require.Regexp(t, `regie +naive +0 +190 +200 +95% +not in 1\.5 s +4\.0 +1 +5 +4 +5`, b.String())
+	require.Regexp(t, `regie +naive +0 +190 +200 +95% +not in 1\.5 s +4\.0 +25% +1 +5 +4 +5`, b.String())
 	require.Regexp(t, `regie +other +0 +190 +200 +95% +1\.5 s`, b.String())
 }
 
