Never run a request that could not be read

Cause: the first tests of the gateway hung on a body above the limit. The HTTP library runs handlers registered with Use also for a request that it could not read, so the call went to the node with an empty body; a reservation with too large a body would have run without it. Change: the gateway registers its handler as a route, which such requests skip.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,7 +60,10 @@
 	for _, o := range options {
 		o(g)
 	}
-	g.app.Use(g.handle)
+	// Not Use: the library also runs the handlers of Use for a request that it
+	// could not read, for example one whose body is too large, and the call
+	// would then run without its body.
+	g.app.All("/*", g.handle)
 	server, err := web.Listen(address, g.app)
 	if err != nil {
 		return nil, err
