Read bodies up to twice the limit, so that callers see the refusal

Change: the library's limit is twice message.MaxBody, and the gateway refuses what is above message.MaxBody. Beyond the library's limit the caller may still see the connection close; a test requires that no node sees the request.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -15,6 +15,11 @@
 // idleTimeout closes keep-alive connections that callers no longer use.
 const idleTimeout = 60 * time.Second
 
+// readLimit is the largest body that is read. It is above message.MaxBody,
+// since the HTTP library closes the connection on a larger one while the caller
+// still sends, and the caller may then not see the answer.
+const readLimit = 2 * message.MaxBody
+
 // Calls is the node behind the gateway.
 type Calls interface {
 	// Call starts a call. cancel is to be called when its caller goes away.
@@ -52,7 +57,7 @@
 func Listen(address string, calls Calls, options ...Option) (*Gateway, error) {
 	g := &Gateway{calls: calls}
 	g.app = fiber.New(fiber.Config{
-		BodyLimit:      message.MaxBody,
+		BodyLimit:      readLimit,
 		ReadBufferSize: message.MaxHeader,
 		IdleTimeout:    idleTimeout,
 		ErrorHandler:   fault,
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,6 +115,16 @@
 	}
 }
 
+// Guards against a request that the HTTP library could not read and that runs
+// without its body. Its caller may see the connection close.
+func TestUnreadableRequestReachesNoNode(t *testing.T) {
+	base, _ := listen(t, func(*gateway.Request, *exchange.Exchange) { t.Error("an unread request reached the node") })
+	response, _, err := do(t, http.MethodPost, base+"/s/", nil, make([]byte, 4*message.MaxBody))
+	if err == nil {
+		require.Equal(t, http.StatusRequestEntityTooLarge, response.StatusCode)
+	}
+}
+
 // Guards against a long answer that breaks off and looks whole to its caller,
 // whether or not its length was known.
 func TestBrokenAnswerCutsConnection(t *testing.T) {
--- a/internal/gateway/request.go
+++ b/internal/gateway/request.go
@@ -8,6 +8,7 @@
 	"github.com/gofiber/fiber/v3"
 
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/outcome"
 )
 
 // Names of the header fields that callers and nodes exchange.
@@ -47,6 +48,9 @@
 // read copies a request out of the buffers of the HTTP library. It returns a
 // *RequestError if the request breaks a rule of the protocol.
 func read(c fiber.Ctx, internal bool) (*Request, error) {
+	if len(c.Request().Body()) > message.MaxBody {
+		return nil, &RequestError{field: "body", reason: "is too large", code: outcome.TooLarge}
+	}
 	service, rest, err := split(string(c.Request().URI().RequestURI()))
 	if err != nil {
 		return nil, err
@@ -75,7 +79,7 @@
 	service, _, _ = strings.Cut(strings.TrimPrefix(uri, "/"), "?")
 	service, _, _ = strings.Cut(service, "/")
 	if service == "" || !strings.HasPrefix(uri, "/") {
-		return "", "", &RequestError{field: "path", reason: "does not start with the name of a service"}
+		return "", "", &RequestError{field: "path", reason: "does not start with the name of a service", code: outcome.Malformed}
 	}
 	rest = uri[1+len(service):]
 	if !strings.HasPrefix(rest, "/") {
@@ -90,7 +94,7 @@
 	}
 	ms, err := strconv.ParseUint(text, 10, 31)
 	if err != nil || ms == 0 {
-		return 0, &RequestError{field: HeaderTimeout, reason: "is not a positive number of milliseconds"}
+		return 0, &RequestError{field: HeaderTimeout, reason: "is not a positive number of milliseconds", code: outcome.Malformed}
 	}
 	return time.Duration(ms) * time.Millisecond, nil
 }
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -79,8 +79,12 @@
 // fault answers requests that the gateway itself refuses.
 func fault(c fiber.Ctx, err error) error {
 	reason := outcome.Malformed
+	var own *RequestError
 	var library *fiber.Error
-	if errors.As(err, &library) && library.Code == fiber.StatusRequestEntityTooLarge {
+	switch {
+	case errors.As(err, &own):
+		reason = own.Reason()
+	case errors.As(err, &library) && library.Code == fiber.StatusRequestEntityTooLarge:
 		reason = outcome.TooLarge
 	}
 	return refuse(c, outcome.NotRun, reason, err.Error())
