Make three tests fail without the mechanism that they guard

Change: the stop is tested for callers of the stopping node and of another one, with a run in flight there; TestDrainIsInForceAtOnce checks the own node; a probe takes the place of a digest that was ignored anyway.

--- a/internal/lab/mesh/stop_test.go
+++ b/internal/lab/mesh/stop_test.go
@@ -18,9 +18,19 @@
 	"github.com/papayapath/papayapath/pkg/node"
 )
 
-// Guards against a planned stop that cuts requests in flight, those of callers
-// at the stopping node as well as those of other nodes.
+// Guards against a planned stop that cuts requests in flight: those of callers
+// at the stopping node, and those that other nodes run on its backend server.
+// Without retries, a call that is cut fails.
 func TestStopCutsNothing(t *testing.T) {
+	for name, entry := range map[string]int{"callers of the node": 0, "callers of another node": 1} {
+		t.Run(name, func(t *testing.T) { stopUnderLoad(t, entry) })
+	}
+}
+
+// stopUnderLoad stops the first of two nodes while requests that came in at
+// the node with index entry are in flight.
+func stopUnderLoad(t *testing.T, entry int) {
+	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	m, err := mesh.Start(ctx, 2)
 	require.NoError(t, err)
@@ -44,13 +54,16 @@
 	var wait sync.WaitGroup
 	for i := range 8 {
 		wait.Go(func() {
-			status, outcome, body := call(t, m.Nodes()[i%2].Callers(), http.MethodGet, "/drawings/x", "pumps", "")
+			status, outcome, body := call(t, m.Nodes()[entry].Callers(), http.MethodGet, "/drawings/x", "pumps", "")
 			if status != http.StatusOK || len(body) < 2<<20 {
 				t.Errorf("request %d: status %d, %s, %d bytes", i, status, outcome, len(body))
 			}
 		})
 	}
 	time.Sleep(300 * time.Millisecond)
+	m.Nodes()[0].View(func(n *node.Node) {
+		require.Positive(t, n.Status(time.Now()).Server().Running(), "nothing runs at the stopping node")
+	})
 	limited, stop := context.WithTimeout(ctx, 20*time.Second)
 	defer stop()
 	require.NoError(t, m.Nodes()[0].Stop(limited))
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -244,9 +244,9 @@
 	now := time.Unix(1000, 0)
 	m := membership.New(instance.New(address, 2), rand.New(rand.NewPCG(1, 1)))
 	m.Join(now, message.Facts{Services: []string{"proofs"}})
-	digest := message.Control{MemberDigest: &message.MemberDigest{Hashes: []uint64{1}}}
+	probe := message.Control{Probe: &message.Probe{Seq: 1, Target: instance.New(address, 2)}}
 	for incarnation := range uint64(3) {
-		require.Empty(t, m.Receive(now, instance.New(address, incarnation), digest, nil))
+		require.Empty(t, m.Receive(now, instance.New(address, incarnation), probe, nil))
 	}
 }
 
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -71,3 +71,19 @@
 	}
 	require.Equal(t, []outcome.Outcome{outcome.Unknown}, ends)
 }
+
+// Guards against a node that goes on giving work to its own leaving server
+// until the others have heard of it.
+func TestDrainIsInForceAtOnce(t *testing.T) {
+	n := node.New(self)
+	var out node.Output
+	require.NoError(t, n.Announce(start, "proofs", "127.0.0.1:1", 4, &out))
+	n.Offer(start, peer, offer(1), &out)
+	n.Drain(start, &out)
+	out.Reset()
+	n.Offer(start, peer, offer(2), &out)
+	require.Len(t, out.Actions, 1)
+	require.Equal(t, outcome.NotRun, out.Actions[0].Answer.Outcome)
+	require.Equal(t, outcome.Draining, out.Actions[0].Answer.Reason)
+	require.False(t, n.Drained())
+}
