Serve the platform's clients through a node beside each server

Change: internal/sidecar takes requests from clients (internal/ingress), offers them to the node beside a server of the wanted service over one multiplexed TCP connection a pair (internal/peer, pkg/frame), and runs them over kept connections (internal/upstream). pkg/routing, registry, presence, runner and allowance decide; platform/ translates settings, header fields, heartbeats, configuration and the log.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -33,3 +33,28 @@
 
 // Unlisted stands for an event that has no number yet.
 var Unlisted = register(999, logrus.InfoLevel, "unlisted event")
+
+// Events of a node that runs beside a server of the platform: 600 to 699.
+var (
+	Stopping          = register(600, logrus.InfoLevel, "node stopping")
+	Stopped           = register(601, logrus.InfoLevel, "node stopped")
+	Reloaded          = register(602, logrus.InfoLevel, "settings reloaded")
+	SettingsRejected  = register(603, logrus.WarnLevel, "settings rejected")
+	RoutesChanged     = register(610, logrus.InfoLevel, "configuration in force changed")
+	RoutesRejected    = register(611, logrus.WarnLevel, "configuration rejected")
+	LogLost           = register(620, logrus.WarnLevel, "platform log lost")
+	LogRegained       = register(621, logrus.InfoLevel, "platform log regained")
+	EntryChanged      = register(630, logrus.InfoLevel, "node entry changed")
+	LinkOpened        = register(631, logrus.InfoLevel, "link opened")
+	LinkLost          = register(632, logrus.WarnLevel, "link lost")
+	HeartbeatRejected = register(640, logrus.WarnLevel, "heartbeat rejected")
+	ServerChanged     = register(641, logrus.InfoLevel, "state of the backend server changed")
+	RequestMalformed  = register(650, logrus.WarnLevel, "request malformed")
+	RequestRefused    = register(651, logrus.InfoLevel, "request refused")
+	RequestDoubtful   = register(652, logrus.WarnLevel, "request ended with an unknown outcome")
+	RequestExpired    = register(653, logrus.InfoLevel, "request reached its time-out")
+	RequestAbandoned  = register(654, logrus.InfoLevel, "client left")
+	RequestRetried    = register(655, logrus.InfoLevel, "request sent to another server")
+	OfferRefused      = register(656, logrus.InfoLevel, "offer refused")
+	RunFailed         = register(657, logrus.WarnLevel, "run failed")
+)
--- /dev/null
+++ b/internal/ingress/server.go
@@ -0,0 +1,102 @@
+package ingress
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/pkg/routing"
+)
+
+// Request is one request of a client.
+type Request struct {
+	Header  *fasthttp.RequestHeader
+	Body    []byte
+	Arrived time.Time       // of the first byte
+	Gone    <-chan struct{} // closed when the client closes its connection
+}
+
+// Reply is the answer to a request.
+type Reply struct {
+	Status int
+	Head   []byte // header fields, each with its line end
+	Body   []byte
+	Broken bool // close the connection without an answer
+}
+
+// Handler answers requests. It owns the request until it returns.
+type Handler interface {
+	Handle(r *Request) Reply
+	// Limits returns the limits that are in force.
+	Limits() routing.Limits
+	// Malformed notes a request that was refused because of its form.
+	Malformed(err error)
+}
+
+// Server accepts the connections of clients. It is safe for concurrent use.
+type Server struct {
+	handler  Handler
+	stopping atomic.Bool
+
+	mu      sync.Mutex
+	clients map[*client]struct{}
+	busy    atomic.Int64
+	last    atomic.Int64 // Unix nanoseconds of the last request's end
+}
+
+// New returns a server without connections.
+func New(h Handler) *Server {
+	return &Server{handler: h, clients: make(map[*client]struct{})}
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(ln net.Listener) error {
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			return err
+		}
+		c := newClient(s, conn)
+		s.mu.Lock()
+		s.clients[c] = struct{}{}
+		s.mu.Unlock()
+		go c.serve()
+	}
+}
+
+// Stop has each connection closed after its next answer.
+func (s *Server) Stop() { s.stopping.Store(true) }
+
+// CloseIdle closes the connections without a request. Clients that send one at
+// the same moment may send it again, since it was not read.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.clients {
+		c.closeIdle()
+	}
+}
+
+// Busy returns the number of requests that are being answered.
+func (s *Server) Busy() int { return int(s.busy.Load()) }
+
+// Quiet returns the time since a request last arrived or ended.
+func (s *Server) Quiet(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, s.last.Load()))
+}
+
+// Open returns the number of connections.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.clients)
+}
+
+func (s *Server) remove(c *client) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.clients, c)
+}
--- /dev/null
+++ b/internal/sidecar/entry.go
@@ -0,0 +1,415 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/internal/peer"
+	"github.com/papayapath/papayapath/pkg/allowance"
+	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/priority"
+	"github.com/papayapath/papayapath/pkg/routing"
+	"github.com/papayapath/papayapath/pkg/threshold"
+)
+
+const (
+	// margin is the time before the end of a request at which the node beside
+	// the server gives up, so that its answer arrives before the end.
+	margin = 10 * time.Millisecond
+	// defaultWait applies to requests that do not say how long they wait.
+	defaultWait = 30 * time.Second
+	// maxOffers bounds the nodes to which one request is offered.
+	maxOffers = 4
+	// returnPart is the part of the remaining time after which a refused
+	// client is asked to come back. Clients wait up to a third.
+	returnPart = 0.33
+	// minReturn is the shortest time after which a client is asked to come
+	// back. It covers the restart of a connection between nodes.
+	minReturn = 50 * time.Millisecond
+)
+
+// call is one request at the node where it arrived.
+type call struct {
+	id       string
+	route    *routing.Route
+	key      message.Route
+	service  string
+	offer    frame.Offer
+	body     []byte
+	start    time.Time
+	end      time.Time // when the final answer is due
+	tried    []string
+	sends    int // servers that the request may have reached
+	offers   int
+	doubtful bool // an earlier attempt may have run
+	results  chan result
+}
+
+// result is what became of an offer.
+type result struct {
+	answer frame.Answer
+	body   []byte
+}
+
+// pending is an offer without an answer.
+type pending struct {
+	call   *call
+	node   string     // where it was offered
+	link   *peer.Link // nil for the own server
+	sentAt time.Time
+}
+
+// Handle answers a request of a client.
+func (n *Node) Handle(r *ingress.Request) ingress.Reply {
+	n.figures.requests.Inc(1)
+	id, wait := n.dialect.Request(r.Header)
+	if wait == 0 {
+		wait = defaultWait
+	}
+	table := n.table.Load()
+	if table == nil {
+		return n.refuse(id, r.Arrived.Add(wait), outcome.Unavailable, "no configuration")
+	}
+	route := lookup(table, r.Header)
+	if route == nil {
+		n.figures.unrouted.Inc(1)
+		return ingress.Reply{Status: fasthttp.StatusNotFound, Head: n.dialect.AppendRequestID(nil, id)}
+	}
+	c := n.newCall(id, wait, route, r)
+	if reason := n.admit(c); reason != outcome.None {
+		return n.refuse(id, c.end, reason, route.Name())
+	}
+	return n.run(c, r.Gone)
+}
+
+// lookup finds the route of a request.
+func lookup(t *routing.Table, h *fasthttp.RequestHeader) *routing.Route {
+	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
+	host := strings.ToLower(string(h.Host()))
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	return t.Lookup(host, path)
+}
+
+func (n *Node) newCall(id string, wait time.Duration, route *routing.Route, r *ingress.Request) *call {
+	if t := route.Timeout(); t > 0 && t < wait {
+		wait = t
+	}
+	c := &call{
+		id:      id,
+		route:   route,
+		body:    append([]byte(nil), r.Body...),
+		start:   r.Arrived,
+		end:     r.Arrived.Add(wait),
+		results: make(chan result, maxOffers+1),
+	}
+	root, _, _ := strings.Cut(id, ".")
+	method := r.Header.Method()
+	c.offer = frame.Offer{
+		Request:    id,
+		Priority:   priority.New(route.Level(), root),
+		Repeatable: route.Repeatable(),
+		HasBody:    len(c.body) > 0 || string(method) != fasthttp.MethodGet && string(method) != fasthttp.MethodHead,
+		HeadOnly:   r.Header.IsHead(),
+		Head:       n.dialect.AppendRequest(make([]byte, 0, 256), r.Header, n.env.Service),
+	}
+	return c
+}
+
+// content identifies what a request asks for, whatever its id.
+func content(service string, h *fasthttp.RequestHeader, body []byte) uint64 {
+	d := xxhash.New()
+	for _, b := range [...][]byte{[]byte(service), h.Method(), h.RequestURI(), body} {
+		d.Write(b)         //nolint:errcheck // never fails
+		d.Write([]byte{0}) //nolint:errcheck // never fails
+	}
+	return d.Sum64()
+}
+
+// admit decides whether a request is begun. Calls of the own server's runs
+// belong to requests that were admitted before, and always are.
+func (n *Node) admit(c *call) outcome.Reason {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.service = c.route.Choose()
+	c.key = message.RouteOf(c.service, "", c.route.Name())
+	c.offer.Service, c.offer.Route = c.service, c.key
+	if parent := n.parent(c.id); parent != nil {
+		c.offer.Inner = true
+		c.offer.Priority = max(parent.offer.Priority, c.offer.Priority)
+		n.graph.Call(parent.offer.Route, c.key)
+		return outcome.None
+	}
+	n.allowance(c.service).Request(now)
+	if e := n.floors[c.key]; e != nil {
+		if !e.Admits(now, c.offer.Priority) {
+			return outcome.Overload
+		}
+	}
+	return outcome.None
+}
+
+// parent returns the run that makes a call, as far as the id of the call tells.
+func (n *Node) parent(id string) *run {
+	for i := len(id) - 1; i > 0; i-- {
+		if id[i] == '.' {
+			if r := n.running[id[:i]]; r != nil {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+func (n *Node) allowance(service string) *allowance.Allowance {
+	a := n.allowances[service]
+	if a == nil {
+		a = allowance.New(n.env.RetryRatio, n.env.RetrySlack, n.env.RetryWindow)
+		n.allowances[service] = a
+	}
+	return a
+}
+
+// run offers a request to servers until it has an answer.
+func (n *Node) run(c *call, gone <-chan struct{}) ingress.Reply {
+	timer := time.NewTimer(time.Until(c.end))
+	defer timer.Stop()
+	for {
+		id, reason := n.send(c)
+		if reason != outcome.None {
+			return n.finish(c, reason)
+		}
+		select {
+		case r := <-c.results:
+			if reply, ok := n.settle(c, &r); ok {
+				return reply
+			}
+		case <-gone:
+			n.abandon(id)
+			n.figures.abandoned.Inc(1)
+			n.journal.Sample(time.Now(), event.RequestAbandoned, func() logrus.Fields { return c.fields() })
+			return ingress.Reply{Broken: true}
+		case <-timer.C:
+			return n.expire(c, id)
+		}
+	}
+}
+
+// expire ends a request whose time is up.
+func (n *Node) expire(c *call, id uint64) ingress.Reply {
+	n.abandon(id)
+	n.figures.expired.Inc(1)
+	n.journal.Sample(time.Now(), event.RequestExpired, func() logrus.Fields { return c.fields() })
+	return ingress.Reply{Status: fasthttp.StatusGatewayTimeout, Head: n.dialect.AppendRequestID(nil, c.id)}
+}
+
+// send offers a request to the best node that was not tried. It returns the id
+// of the offer, or the reason why there is none.
+func (n *Node) send(c *call) (uint64, outcome.Reason) {
+	for {
+		now := time.Now()
+		wait := c.end.Sub(now) - margin
+		if wait <= 0 {
+			return 0, outcome.Expired
+		}
+		n.mu.Lock()
+		node := n.choose(now, c.service, c.tried)
+		if node == "" || c.offers >= maxOffers {
+			n.mu.Unlock()
+			if c.offers > 0 {
+				return 0, outcome.Overload
+			}
+			return 0, outcome.Unavailable
+		}
+		c.tried = append(c.tried, node)
+		c.offers++
+		id := n.offers.Add(1)
+		p := &pending{call: c, node: node, sentAt: now}
+		if node != n.self.Node {
+			p.link = n.mesh.Link(node)
+		}
+		s := n.serverAt(node)
+		s.since++
+		s.open++
+		n.pending[id] = p
+		n.mu.Unlock()
+
+		o := c.offer
+		o.ID, o.Wait = id, wait
+		if node == n.self.Node {
+			n.accept(now, nil, &o, c.body)
+			return id, outcome.None
+		}
+		if p.link != nil && peer.Send(p.link, frame.KindOffer, &o, c.body) {
+			return id, outcome.None
+		}
+		if !n.withdraw(id) {
+			// The link ended meanwhile and the result is there.
+			return id, outcome.None
+		}
+	}
+}
+
+// withdraw forgets an offer that was not sent. It returns false if the offer
+// has a result.
+func (n *Node) withdraw(id uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	p := n.pending[id]
+	if p == nil {
+		return false
+	}
+	n.close(id, p)
+	return true
+}
+
+// close removes an offer from the table.
+func (n *Node) close(id uint64, p *pending) {
+	delete(n.pending, id)
+	n.serverAt(p.node).open--
+}
+
+// abandon cancels an offer whose answer is no longer wanted.
+func (n *Node) abandon(id uint64) {
+	n.mu.Lock()
+	p := n.pending[id]
+	if p != nil {
+		n.close(id, p)
+	}
+	n.mu.Unlock()
+	switch {
+	case p == nil:
+	case p.link == nil:
+		n.cancel(runKey{id: id})
+	default:
+		peer.Send(p.link, frame.KindCancel, frame.Cancel{ID: id}, nil)
+	}
+}
+
+// deliver passes the answer to an offer on to its call.
+func (n *Node) deliver(now time.Time, from *peer.Link, a *frame.Answer, body []byte) {
+	n.mu.Lock()
+	p := n.pending[a.ID]
+	if p == nil || p.link != from {
+		n.mu.Unlock()
+		return
+	}
+	n.close(a.ID, p)
+	s := n.serverAt(p.node)
+	s.load, s.limit, s.since, s.told = a.Load, a.Limit, 0, now
+	n.tell(now, p.call.key, a.Floor)
+	n.mu.Unlock()
+	p.call.results <- result{answer: *a, body: body}
+}
+
+// tell records the threshold that a route meets at its service or further down.
+func (n *Node) tell(now time.Time, key message.Route, floor priority.Priority) {
+	e := n.floors[key]
+	if e == nil {
+		if len(n.floors) >= maxFloors {
+			clear(n.floors)
+		}
+		e = &threshold.Estimate{}
+		n.floors[key] = e
+	}
+	e.Tell(now, floor)
+}
+
+// maxFloors bounds the table of thresholds, whose keys come from routes.
+const maxFloors = 4096
+
+// settle decides what follows from the result of an offer. It returns false if
+// the request is offered to another node.
+func (n *Node) settle(c *call, r *result) (ingress.Reply, bool) {
+	a := &r.answer
+	if a.Sent {
+		c.sends++
+	}
+	switch {
+	case a.Outcome == outcome.Complete:
+		n.figures.complete(time.Since(c.start))
+		return ingress.Reply{Status: a.Status, Head: a.Head, Body: r.body}, true
+	case a.Reason == outcome.Suspect:
+		return n.finish(c, a.Reason), true
+	case a.Outcome == outcome.NotRun && !a.Sent:
+		return ingress.Reply{}, false
+	}
+	c.doubtful = c.doubtful || a.Outcome == outcome.Unknown
+	if !n.again(c, a) {
+		return n.finish(c, a.Reason), true
+	}
+	return ingress.Reply{}, false
+}
+
+// again decides whether a request that reached a server is sent to another one.
+func (n *Node) again(c *call, a *frame.Answer) bool {
+	if c.sends >= c.route.Attempts() || a.Outcome == outcome.Unknown && !c.route.Repeatable() {
+		return false
+	}
+	if a.Outcome == outcome.Unknown {
+		// A request that runs again makes its calls again, which the budgets
+		// of the called services would have to bear.
+		return false
+	}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	budget := n.allowance(c.service)
+	if budget.Left(now, n.registry.Len()) < 1 {
+		return false
+	}
+	budget.Take(now, 1)
+	n.figures.retries.Inc(1)
+	n.journal.Sample(now, event.RequestRetried, func() logrus.Fields { return c.fields() })
+	return true
+}
+
+// finish ends a request without a server's answer.
+func (n *Node) finish(c *call, reason outcome.Reason) ingress.Reply {
+	if !c.doubtful {
+		return n.refuse(c.id, c.end, reason, c.route.Name())
+	}
+	n.figures.doubtful.Inc(1)
+	n.journal.Sample(time.Now(), event.RequestDoubtful, func() logrus.Fields {
+		f := c.fields()
+		f["reason"] = reason.String()
+		return f
+	})
+	return ingress.Reply{Status: fasthttp.StatusBadGateway, Head: n.dialect.AppendRequestID(nil, c.id)}
+}
+
+// refuse answers a request that has not run and never will.
+func (n *Node) refuse(id string, end time.Time, reason outcome.Reason, detail string) ingress.Reply {
+	n.figures.refused.Inc(1)
+	now := time.Now()
+	n.journal.Sample(now, event.RequestRefused, func() logrus.Fields {
+		return logrus.Fields{"request": id, "reason": reason.String(), "detail": detail}
+	})
+	wait := max(minReturn, time.Duration(returnPart*(0.5+0.5*rand.Float64())*float64(end.Sub(now))))
+	head := n.dialect.AppendRequestID(nil, id)
+	head = append(head, "Retry-After: "...)
+	head = strconv.AppendFloat(head, wait.Seconds(), 'f', 3, 64)
+	head = append(head, "\r\n"...)
+	return ingress.Reply{Status: fasthttp.StatusServiceUnavailable, Head: head}
+}
+
+// fields describes a request in a log line.
+func (c *call) fields() logrus.Fields {
+	return logrus.Fields{
+		"request": c.id, "route": c.route.Name(), "service": c.service,
+		"offers": c.offers, "sends": c.sends, "nodes": strings.Join(c.tried, ","),
+		"age_ms": time.Since(c.start).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,254 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/environment"
+	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/internal/journal"
+	"github.com/papayapath/papayapath/internal/peer"
+	"github.com/papayapath/papayapath/internal/upstream"
+	"github.com/papayapath/papayapath/pkg/allowance"
+	"github.com/papayapath/papayapath/pkg/callgraph"
+	"github.com/papayapath/papayapath/pkg/keyed"
+	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/presence"
+	"github.com/papayapath/papayapath/pkg/registry"
+	"github.com/papayapath/papayapath/pkg/routing"
+	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/threshold"
+)
+
+// Dialect translates header fields.
+type Dialect interface {
+	upstream.Dialect
+	Request(h *fasthttp.RequestHeader) (id string, wait time.Duration)
+	AppendRequest(dst []byte, h *fasthttp.RequestHeader, origin string) []byte
+	AppendTarget(dst []byte, wait time.Duration, instance string, body int, hasBody bool) []byte
+	AppendRequestID(dst []byte, id string) []byte
+	Instance(h *fasthttp.ResponseHeader) string
+}
+
+// Log is the platform's log with topics that keep the newest value of each key.
+type Log interface {
+	Newest(topic string) (records []keyed.Record, end int64, err error)
+	Read(topic string, from int64, wait time.Duration) (records []keyed.Record, end int64, err error)
+	Put(topic, key string, value []byte) error
+}
+
+// Formats reads what the operator and backend servers write.
+type Formats struct {
+	// Configuration decodes a configuration.
+	Configuration func(data []byte, random *rand.Rand) (*routing.Table, error)
+	// Topic and Key name the record that holds the configuration.
+	Topic, Key string
+	// Server returns the id of the server from the path of its call.
+	Server func(path string) (id string, ok bool)
+	// Heartbeat decodes the heartbeat of a server.
+	Heartbeat func(id string, data []byte) (presence.Heartbeat, error)
+	// IsExpired reports whether an error of the log says that records at a
+	// position have been deleted.
+	IsExpired func(err error) bool
+}
+
+// Node is the process beside one backend server.
+type Node struct {
+	env     *environment.Environment
+	dialect Dialect
+	formats Formats
+	journal *journal.Journal
+	figures *figures
+	mesh    *peer.Mesh
+	pool    *upstream.Pool
+	clients *ingress.Server
+	ctx     context.Context
+	log     atomic.Pointer[Log]
+	table   atomic.Pointer[routing.Table]
+	offers  atomic.Uint64 // id of the last offer
+
+	mu         sync.Mutex
+	raw        []byte // document of the configuration in force
+	pulled     uint64 // version last asked from another node
+	pulledAt   time.Time
+	self       registry.Entry
+	registry   *registry.Registry
+	presence   *presence.Presence
+	confirming bool
+	runner     *runner.Runner[*run]
+	graph      *callgraph.Graph
+	floors     map[message.Route]*threshold.Estimate
+	servers    map[string]*server // by address of the node
+	members    map[string][]string
+	memberedAt uint64 // changes of the registry at which members was derived
+	allowances map[string]*allowance.Allowance
+	pending    map[uint64]*pending
+	runs       map[runKey]*run
+	running    map[string]*run // by id of the request
+	expiring   bool
+	stopping   bool
+	blind      bool // the log cannot be read
+	publish    chan struct{}
+}
+
+// New returns a node that has not been started.
+func New(env *environment.Environment, d Dialect, f Formats, log Log, j *journal.Journal) *Node {
+	n := &Node{
+		env:        env,
+		dialect:    d,
+		formats:    f,
+		journal:    j,
+		figures:    newFigures(),
+		registry:   registry.New(),
+		presence:   &presence.Presence{},
+		runner:     runner.New[*run](),
+		graph:      callgraph.New(),
+		floors:     make(map[message.Route]*threshold.Estimate),
+		servers:    make(map[string]*server),
+		allowances: make(map[string]*allowance.Allowance),
+		pending:    make(map[uint64]*pending),
+		runs:       make(map[runKey]*run),
+		running:    make(map[string]*run),
+		publish:    make(chan struct{}, 1),
+	}
+	n.log.Store(&log)
+	n.mesh = peer.NewMesh(n)
+	n.clients = ingress.New(n)
+	n.pool = upstream.New(env.Backend.String(), d, maxAnswerBody)
+	now := time.Now()
+	n.self = registry.Entry{
+		Node:        env.Links.String(),
+		Incarnation: now.UnixMilli(),
+		Revision:    1,
+		Domain:      env.Domain,
+		Service:     env.Service,
+	}
+	n.registry.Merge(now, n.self)
+	return n
+}
+
+// maxAnswerBody bounds the body of a server's answer that is kept in memory.
+const maxAnswerBody = 64 << 20
+
+// SetLog replaces the client of the platform log.
+func (n *Node) SetLog(l Log) { n.log.Store(&l) }
+
+// Limits returns the limits of clients that are in force.
+func (n *Node) Limits() routing.Limits {
+	if t := n.table.Load(); t != nil {
+		return t.Limits()
+	}
+	return routing.New(0).Limits()
+}
+
+// Malformed notes a request that was refused because of its form.
+func (n *Node) Malformed(err error) {
+	n.figures.malformed.Inc(1)
+	n.journal.Sample(time.Now(), event.RequestMalformed, func() logrus.Fields {
+		return logrus.Fields{"detail": err.Error()}
+	})
+}
+
+// server is what this node knows of another node's server as a target.
+type server struct {
+	address string
+	load    int // requests that run or wait there, as last told
+	limit   int // requests that it runs at once, as last told
+	since   int // offers of this node since then
+	open    int // offers of this node without an answer
+	told    time.Time
+}
+
+// utilization estimates which part of the server's capacity is in use. What was
+// told loses its force with age, so that a server which was full gets requests
+// again that tell how it is now.
+func (s *server) utilization(now time.Time, slots int) float64 {
+	limit := s.limit
+	if limit == 0 {
+		limit = max(1, slots)
+	}
+	load := float64(s.load)
+	if age := now.Sub(s.told); age > fresh {
+		load *= max(0, 1-float64(age-fresh)/float64(stale-fresh))
+	}
+	return (max(load+float64(s.since), float64(s.open))) / float64(limit)
+}
+
+const (
+	// fresh is the age up to which a server's load is taken as told.
+	fresh = 200 * time.Millisecond
+	// stale is the age from which a server's load says nothing.
+	stale = 2 * time.Second
+	// homeRoom is the utilization up to which a server of the own failure
+	// domain is preferred. Above it requests begin to wait for one another.
+	homeRoom = 0.6
+)
+
+// serverAt returns the record of the server beside a node.
+func (n *Node) serverAt(address string) *server {
+	s := n.servers[address]
+	if s == nil {
+		s = &server{address: address}
+		n.servers[address] = s
+	}
+	return s
+}
+
+// candidates returns the nodes that take requests of a service.
+func (n *Node) candidates(service string) []string {
+	if c := n.registry.Changes(); c != n.memberedAt || n.members == nil {
+		n.members = make(map[string][]string)
+		for _, e := range n.registry.All() {
+			if e.Takes(e.Service) {
+				n.members[e.Service] = append(n.members[e.Service], e.Node)
+			}
+		}
+		n.memberedAt = c
+	}
+	return n.members[service]
+}
+
+// choose returns the node to which a request is offered next, or "".
+func (n *Node) choose(now time.Time, service string, tried []string) string {
+	var best, home string
+	bestUse, homeUse := 0.0, 0.0
+	candidates := n.candidates(service)
+	if len(candidates) == 0 {
+		return ""
+	}
+	offset := rand.IntN(len(candidates))
+	for i := range candidates {
+		address := candidates[(i+offset)%len(candidates)]
+		if contains(tried, address) || address != n.self.Node && n.mesh.Link(address) == nil {
+			continue
+		}
+		e, _ := n.registry.Get(address)
+		use := n.serverAt(address).utilization(now, e.Slots)
+		if best == "" || use < bestUse {
+			best, bestUse = address, use
+		}
+		if e.Domain == n.self.Domain && (home == "" || use < homeUse) {
+			home, homeUse = address, use
+		}
+	}
+	if home != "" && homeUse < homeRoom {
+		return home
+	}
+	return best
+}
+
+func contains(list []string, s string) bool {
+	for _, l := range list {
+		if l == s {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/runner/runner.go
@@ -0,0 +1,209 @@
+package runner
+
+import (
+	"time"
+
+	"github.com/papayapath/papayapath/pkg/admission"
+	"github.com/papayapath/papayapath/pkg/priority"
+	"github.com/papayapath/papayapath/pkg/queue"
+)
+
+const (
+	// fill is the part of the announced slots that is used. Servers slow down
+	// or stop answering when they are nearly full.
+	fill = 0.93
+	// coldFill is the part of the slots used while a server is slow after its
+	// start.
+	coldFill = 0.5
+	// defaultSlots is used until a server announces its slots.
+	defaultSlots = 16
+	// recent is the weight of one run in the mean run time.
+	recent = 0.05
+)
+
+// Verdict says what becomes of an offered request.
+type Verdict uint8
+
+// Verdicts on an offer.
+const (
+	Refused Verdict = iota
+	Run
+	Queued
+)
+
+// Ticket is one request at the server.
+type Ticket[T any] struct {
+	Value    T
+	Priority priority.Priority
+	Expires  time.Time // when the request must have been answered
+	Inner    bool      // a call of a request that was admitted elsewhere
+
+	handle  queue.Handle
+	arrived time.Time
+	started time.Time
+	queued  bool
+	running bool
+}
+
+// Waited returns how long the ticket has been queued or was until it ran.
+func (t *Ticket[T]) Waited(now time.Time) time.Duration {
+	if t.running {
+		return t.started.Sub(t.arrived)
+	}
+	return now.Sub(t.arrived)
+}
+
+// Runner holds the queue and the slots of one server. It is not safe for
+// concurrent use.
+type Runner[T any] struct {
+	slots   int
+	cold    bool
+	running int
+	queue   *queue.Queue[*Ticket[T]]
+	control *admission.Controller
+	mean    time.Duration // of a run
+}
+
+// New returns the runner of a server without requests.
+func New[T any]() *Runner[T] {
+	return &Runner[T]{slots: defaultSlots, queue: queue.New[*Ticket[T]](), control: admission.New()}
+}
+
+// Announce sets the slots of the server and whether it is slow after its start.
+func (r *Runner[T]) Announce(slots int, cold bool) {
+	if slots > 0 {
+		r.slots = slots
+	}
+	r.cold = cold
+}
+
+// Limit returns how many requests may run at once.
+func (r *Runner[T]) Limit() int {
+	part := fill
+	if r.cold {
+		part = coldFill
+	}
+	return max(1, int(part*float64(r.slots)))
+}
+
+// Offer decides about a request. Evicted tickets, which made room for t, are
+// refused by the caller.
+func (r *Runner[T]) Offer(now time.Time, t *Ticket[T]) (v Verdict, evicted *Ticket[T]) {
+	t.arrived = now
+	r.control.Arrive(t.Priority)
+	r.control.Adapt(now, r.queue.Len())
+	if r.running < r.Limit() && r.queue.Len() == 0 {
+		r.begin(now, t)
+		return Run, nil
+	}
+	if !t.Inner && t.Priority < r.control.Threshold() {
+		return Refused, nil
+	}
+	if r.late(now, t) {
+		r.control.Refuse()
+		return Refused, nil
+	}
+	if r.queue.Len() >= r.bound() {
+		lowest, _ := r.queue.Lowest()
+		if lowest.Priority >= t.Priority {
+			r.control.Refuse()
+			return Refused, nil
+		}
+		evicted, _ = r.queue.Evict()
+		evicted.queued = false
+		r.control.Refuse()
+	}
+	t.queued = true
+	t.handle = r.queue.Push(t.Priority, t.Expires.Add(-r.mean), t)
+	return Queued, evicted
+}
+
+// bound returns how many requests may wait.
+func (r *Runner[T]) bound() int { return 4 * r.Limit() }
+
+// late reports whether t cannot be answered in time even if it ran next.
+func (r *Runner[T]) late(now time.Time, t *Ticket[T]) bool {
+	return now.Add(r.mean).After(t.Expires)
+}
+
+func (r *Runner[T]) begin(now time.Time, t *Ticket[T]) {
+	t.started, t.running = now, true
+	r.running++
+	r.control.Start(now.Sub(t.arrived))
+}
+
+// Next returns a queued ticket that may run now, or nil.
+func (r *Runner[T]) Next(now time.Time) *Ticket[T] {
+	if r.running >= r.Limit() {
+		return nil
+	}
+	t, ok := r.queue.Pop()
+	if !ok {
+		return nil
+	}
+	t.queued = false
+	r.begin(now, t)
+	return t
+}
+
+// Done records the end of a run. served says that the server answered.
+func (r *Runner[T]) Done(now time.Time, t *Ticket[T], served bool) {
+	if !t.running {
+		return
+	}
+	t.running = false
+	r.running--
+	if served {
+		d := now.Sub(t.started)
+		if r.mean == 0 {
+			r.mean = d
+		}
+		r.mean += time.Duration(recent * float64(d-r.mean))
+	}
+}
+
+// Cancel takes a ticket out of the queue. It reports whether it was there.
+func (r *Runner[T]) Cancel(t *Ticket[T]) bool {
+	if !t.queued {
+		return false
+	}
+	t.queued = false
+	r.queue.Remove(t.handle)
+	return true
+}
+
+// Expire removes the queued tickets that cannot be answered in time any more.
+func (r *Runner[T]) Expire(now time.Time, out []*Ticket[T]) []*Ticket[T] {
+	first := len(out)
+	out = r.queue.Due(now, out)
+	for _, t := range out[first:] {
+		r.Cancel(t)
+		r.control.Refuse()
+	}
+	r.control.Adapt(now, r.queue.Len())
+	return out
+}
+
+// Flush removes all queued tickets.
+func (r *Runner[T]) Flush(out []*Ticket[T]) []*Ticket[T] {
+	for {
+		t, ok := r.queue.Pop()
+		if !ok {
+			return out
+		}
+		t.queued = false
+		out = append(out, t)
+	}
+}
+
+// Floor returns the lowest priority that is admitted.
+func (r *Runner[T]) Floor() priority.Priority { return r.control.Threshold() }
+
+// Running returns the number of requests at the server.
+func (r *Runner[T]) Running() int { return r.running }
+
+// Queued returns the number of requests that wait.
+func (r *Runner[T]) Queued() int { return r.queue.Len() }
+
+// Mean returns the mean run time of recent requests.
+func (r *Runner[T]) Mean() time.Duration { return r.mean }
