--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -32,7 +32,7 @@
 	conn   net.Conn
 	reader *bufio.Reader
 
-	ahead  atomic.Bool // bytes of a following request have arrived
+	ahead atomic.Bool // bytes of a following request have arrived
 
 	mu     sync.Mutex
 	inside bool // a request has begun to arrive or is being answered
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -178,7 +178,7 @@
 	if age := now.Sub(s.told); age > fresh {
 		load *= max(0, 1-float64(age-fresh)/float64(stale-fresh))
 	}
-	return (max(load+float64(s.since), float64(s.open))) / float64(limit)
+	return max(load+float64(s.since), float64(s.open)) / float64(limit)
 }
 
 const (
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -206,4 +206,3 @@
 	}
 	return idleLimit
 }
-
--- /dev/null
+++ b/pkg/registry/registry_test.go
@@ -0,0 +1,66 @@
+package registry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/pkg/presence"
+	"github.com/papayapath/papayapath/pkg/registry"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against an old entry, repeated by another node, that undoes a newer
+// one.
+func TestMergeKeepsTheNewest(t *testing.T) {
+	r := registry.New()
+	require.True(t, r.Merge(start, registry.Entry{Node: "a", Incarnation: 2, Revision: 1}))
+	require.False(t, r.Merge(start, registry.Entry{Node: "a", Incarnation: 2, Revision: 1}))
+	require.False(t, r.Merge(start, registry.Entry{Node: "a", Incarnation: 1, Revision: 9}))
+	require.True(t, r.Merge(start, registry.Entry{Node: "a", Incarnation: 2, Revision: 2, State: presence.Draining}))
+	e, ok := r.Get("a")
+	require.True(t, ok)
+	require.Equal(t, presence.Draining, e.State)
+}
+
+// Guards against nodes that exchange their tables for ever, or never, because
+// digests of equal tables differ or those of different ones don't.
+func TestDigestTellsTables(t *testing.T) {
+	a, b := registry.New(), registry.New()
+	one := registry.Entry{Node: "a", Incarnation: 1, Revision: 1}
+	two := registry.Entry{Node: "b", Incarnation: 1, Revision: 1}
+	a.Merge(start, one)
+	a.Merge(start, two)
+	b.Merge(start, two)
+	require.NotEqual(t, a.Digest(), b.Digest())
+	b.Merge(start, one)
+	require.Equal(t, a.Digest(), b.Digest())
+	a.Drop(start, "a")
+	b.Drop(start, "a")
+	require.Equal(t, a.Digest(), b.Digest())
+}
+
+// Guards against a node that is gone and comes back from the tables of others.
+func TestDroppedNodeStaysOut(t *testing.T) {
+	r := registry.New()
+	e := registry.Entry{Node: "a", Incarnation: 1, Revision: 1}
+	r.Merge(start, e)
+	r.Drop(start, "a")
+	require.False(t, r.Merge(start.Add(time.Second), e))
+	e.Incarnation = 2
+	require.True(t, r.Merge(start.Add(time.Second), e))
+}
+
+// Guards against offers to a node that is shutting down or whose server drains.
+func TestTakes(t *testing.T) {
+	e := registry.Entry{Service: "s", State: presence.Ready}
+	require.True(t, e.Takes("s"))
+	require.False(t, e.Takes("other"))
+	stopping := e
+	stopping.Stopping = true
+	require.False(t, stopping.Takes("s"))
+	e.State = presence.Draining
+	require.False(t, e.Takes("s"))
+}
--- /dev/null
+++ b/pkg/routing/table_test.go
@@ -0,0 +1,51 @@
+package routing_test
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/pkg/routing"
+)
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// Guards against a request that goes to the route of a shorter prefix, of
+// another host, or to any route although none matches.
+func TestLookupTakesLongestPrefix(t *testing.T) {
+	short := routing.NewRoute("short", "/a/")
+	long := routing.NewRoute("long", "/a/b/")
+	table := routing.New(7, routing.WithRoute("one.example", short), routing.WithRoute("ONE.example", long))
+	require.Equal(t, uint64(7), table.Version())
+	require.Same(t, long, table.Lookup("one.example", "/a/b/c"))
+	require.Same(t, short, table.Lookup("one.example", "/a/bc"))
+	require.Nil(t, table.Lookup("one.example", "/a"))
+	require.Nil(t, table.Lookup("two.example", "/a/b/"))
+}
+
+// Guards against parts of a split route that get more or less than their
+// weight, over any stretch of requests.
+func TestChooseFollowsWeights(t *testing.T) {
+	r := routing.NewRoute("split", "/",
+		routing.WithPart("a", 90, random()), routing.WithPart("b", 10, random()), routing.WithPart("none", 0, random()))
+	counts := make(map[string]int)
+	for range 1000 {
+		counts[r.Choose()]++
+	}
+	require.InDelta(t, 900, counts["a"], 2)
+	require.InDelta(t, 100, counts["b"], 2)
+	require.Zero(t, counts["none"])
+	require.Empty(t, routing.NewRoute("empty", "/").Choose())
+}
+
+// Guards against nodes that all send their first requests to the same part.
+func TestFirstChoicesDiffer(t *testing.T) {
+	r := random()
+	first := make(map[string]int)
+	for range 100 {
+		first[routing.NewRoute("split", "/", routing.WithPart("a", 50, r), routing.WithPart("b", 50, r)).Choose()]++
+	}
+	require.Greater(t, first["a"], 20)
+	require.Greater(t, first["b"], 20)
+}
