Retry doubtful requests within the budgets of all called services

Change: answers tell which calls a run of a route causes; a retry takes its share out of the budget of each called service. Requests that crash servers are counted by content (quarantine without isolation) and shared between nodes.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -18,6 +18,7 @@
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/priority"
+	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/threshold"
 )
@@ -122,15 +123,17 @@
 		Repeatable: route.Repeatable(),
 		HasBody:    len(c.body) > 0 || string(method) != fasthttp.MethodGet && string(method) != fasthttp.MethodHead,
 		HeadOnly:   r.Header.IsHead(),
+		Origin:     n.env.Service,
+		Content:    content(r.Header, c.body),
 		Head:       n.dialect.AppendRequest(make([]byte, 0, 256), r.Header, n.env.Service),
 	}
 	return c
 }
 
 // content identifies what a request asks for, whatever its id.
-func content(service string, h *fasthttp.RequestHeader, body []byte) uint64 {
+func content(h *fasthttp.RequestHeader, body []byte) uint64 {
 	d := xxhash.New()
-	for _, b := range [...][]byte{[]byte(service), h.Method(), h.RequestURI(), body} {
+	for _, b := range [...][]byte{h.Host(), h.Method(), h.RequestURI(), body} {
 		d.Write(b)         //nolint:errcheck // never fails
 		d.Write([]byte{0}) //nolint:errcheck // never fails
 	}
@@ -146,10 +149,14 @@
 	c.service = c.route.Choose()
 	c.key = message.RouteOf(c.service, "", c.route.Name())
 	c.offer.Service, c.offer.Route = c.service, c.key
+	if n.quarantine.Check(now, quarantine.Request{Customer: n.env.Service, Content: c.offer.Content}) == quarantine.Refuse {
+		return outcome.Suspect
+	}
 	if parent := n.parent(c.id); parent != nil {
 		c.offer.Inner = true
 		c.offer.Priority = max(parent.offer.Priority, c.offer.Priority)
 		n.graph.Call(parent.offer.Route, c.key)
+		n.services[c.key] = c.service
 		return outcome.None
 	}
 	n.allowance(c.service).Request(now)
@@ -310,6 +317,9 @@
 	s := n.serverAt(p.node)
 	s.load, s.limit, s.since, s.told = a.Load, a.Limit, 0, now
 	n.tell(now, p.call.key, a.Floor)
+	if a.HasSpread {
+		n.spreads[p.call.key] = a.Spread
+	}
 	n.mu.Unlock()
 	p.call.results <- result{answer: *a, body: body}
 }
@@ -338,6 +348,8 @@
 		c.sends++
 	}
 	switch {
+	case a.Outcome == outcome.Complete && a.Status == fasthttp.StatusInternalServerError && n.again(c, a):
+		return ingress.Reply{}, false
 	case a.Outcome == outcome.Complete:
 		n.figures.complete(time.Since(c.start))
 		return ingress.Reply{Status: a.Status, Head: a.Head, Body: r.body}, true
@@ -355,24 +367,44 @@
 
 // again decides whether a request that reached a server is sent to another one.
 func (n *Node) again(c *call, a *frame.Answer) bool {
-	if c.sends >= c.route.Attempts() || a.Outcome == outcome.Unknown && !c.route.Repeatable() {
-		return false
-	}
-	if a.Outcome == outcome.Unknown {
-		// A request that runs again makes its calls again, which the budgets
-		// of the called services would have to bear.
+	if c.sends >= c.route.Attempts() || a.Outcome != outcome.NotRun && !c.route.Repeatable() {
 		return false
 	}
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	budget := n.allowance(c.service)
-	if budget.Left(now, n.registry.Len()) < 1 {
+	if !n.spend(now, c, a.Outcome == outcome.NotRun) {
 		return false
 	}
-	budget.Take(now, 1)
 	n.figures.retries.Inc(1)
-	n.journal.Sample(now, event.RequestRetried, func() logrus.Fields { return c.fields() })
+	n.journal.Sample(now, event.RequestRetried, func() logrus.Fields {
+		f := c.fields()
+		f["outcome"], f["status"] = a.Outcome.String(), a.Status
+		return f
+	})
+	return true
+}
+
+// spend takes a retry out of the budgets of the service and, unless the first
+// attempt did not run, of the services that a run calls: it calls them again.
+func (n *Node) spend(now time.Time, c *call, notRun bool) bool {
+	costs := []frame.Share{{Service: c.service, Calls: 1}}
+	if !notRun {
+		spread, ok := n.spreads[c.key]
+		if !ok {
+			return false
+		}
+		costs = append(costs, spread...)
+	}
+	nodes := n.registry.Len()
+	for _, s := range costs {
+		if n.allowance(s.Service).Left(now, nodes) < float64(s.Calls) {
+			return false
+		}
+	}
+	for _, s := range costs {
+		n.allowance(s.Service).Take(now, float64(s.Calls))
+	}
 	return true
 }
 
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -40,7 +40,11 @@
 	})
 	n.mu.Lock()
 	self, digest := n.self, n.digest()
+	suspicions := n.quarantine.All(time.Now(), nil)
 	n.mu.Unlock()
+	if len(suspicions) > 0 {
+		peer.Send(l, frame.KindSuspicions, frame.Suspicions{Suspicions: suspicions}, nil)
+	}
 	peer.Send(l, frame.KindEntries, frame.Entries{Entries: []registry.Entry{self}}, nil)
 	peer.Send(l, frame.KindDigest, digest, nil)
 }
@@ -123,6 +127,11 @@
 		}
 	case frame.KindConfiguration:
 		n.configure(now, body, false)
+	case frame.KindSuspicions:
+		var s frame.Suspicions
+		if s, err = message.Decode[frame.Suspicions](head); err == nil {
+			n.mergeSuspicions(now, s.Suspicions)
+		}
 	case frame.KindPing:
 		peer.Send(l, frame.KindPong, frame.Ping{}, nil)
 	}
@@ -253,6 +262,7 @@
 			d := n.digest()
 			n.presence.Tick(now)
 			replies := n.presenceChanged(now, nil)
+			n.tellSuspicions(now)
 			n.mu.Unlock()
 			n.reply(replies...)
 			peer.Send(links[rand.IntN(len(links))], frame.KindDigest, d, nil)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,9 +18,11 @@
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/callgraph"
+	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/keyed"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/presence"
+	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/registry"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/runner"
@@ -88,7 +90,11 @@
 	servers    map[string]*server // by address of the node
 	members    map[string][]string
 	memberedAt uint64 // changes of the registry at which members was derived
+	spreads    map[message.Route][]frame.Share
+	services   map[message.Route]string // of the calls that the own server makes
 	allowances map[string]*allowance.Allowance
+	quarantine *quarantine.Quarantine
+	broken     []brokenRun
 	pending    map[uint64]*pending
 	runs       map[runKey]*run
 	running    map[string]*run // by id of the request
@@ -112,6 +118,9 @@
 		graph:      callgraph.New(),
 		floors:     make(map[message.Route]*threshold.Estimate),
 		servers:    make(map[string]*server),
+		spreads:    make(map[message.Route][]frame.Share),
+		services:   make(map[message.Route]string),
+		quarantine: quarantine.New(quarantine.WithoutIsolation()),
 		allowances: make(map[string]*allowance.Allowance),
 		pending:    make(map[uint64]*pending),
 		runs:       make(map[runKey]*run),
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -15,6 +15,7 @@
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/presence"
 	"github.com/papayapath/papayapath/pkg/priority"
+	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/runner"
 )
 
@@ -52,7 +53,7 @@
 		Value: r, Priority: o.Priority, Expires: now.Add(o.Wait), Inner: o.Inner,
 	}
 	n.mu.Lock()
-	if reason := n.gate(o); reason != outcome.None {
+	if reason := n.gate(now, o); reason != outcome.None {
 		rep := n.notRun(now, r, reason)
 		n.mu.Unlock()
 		n.reply(rep)
@@ -81,7 +82,7 @@
 }
 
 // gate says why the own server takes no requests, or None.
-func (n *Node) gate(o *frame.Offer) outcome.Reason {
+func (n *Node) gate(now time.Time, o *frame.Offer) outcome.Reason {
 	switch {
 	case o.Service != n.env.Service:
 		return outcome.Unavailable
@@ -89,6 +90,8 @@
 		return outcome.Draining
 	case n.presence.State() != presence.Ready:
 		return outcome.Unavailable
+	case n.quarantine.Check(now, suspect(o)) == quarantine.Refuse:
+		return outcome.Suspect
 	}
 	return outcome.None
 }
@@ -139,7 +142,9 @@
 	n.figures.run(now.Sub(r.ticket.Expires.Add(-r.offer.Wait)))
 	replies := []reply{rep}
 	delete(n.runs, r.key)
+	n.judge(now, r, a)
 	if isRefused(a.Err) {
+		n.crashed(now)
 		n.presence.Failed(now)
 		replies = n.presenceChanged(now, replies)
 	}
@@ -193,9 +198,37 @@
 		})
 	}
 	n.state(now, r, &out)
+	if out.Outcome == outcome.Complete && r.key.id%spreadEvery == 0 {
+		out.HasSpread, out.Spread = true, n.spread(r.offer.Route)
+	}
 	return out
 }
 
+// spreadEvery is the number of offers for each answer that tells which calls a
+// run causes. The calls of a route seldom change.
+const spreadEvery = 16
+
+// spread returns the calls that a run of a route causes, here and further down.
+func (n *Node) spread(route message.Route) []frame.Share {
+	var all []frame.Share
+	add := func(service string, calls float32) {
+		for i := range all {
+			if all[i].Service == service {
+				all[i].Calls += calls
+				return
+			}
+		}
+		all = append(all, frame.Share{Service: service, Calls: calls})
+	}
+	n.graph.Calls(route, func(child message.Route, mean float64) {
+		add(n.services[child], float32(mean))
+		for _, s := range n.spreads[child] {
+			add(s.Service, float32(mean)*s.Calls)
+		}
+	})
+	return all
+}
+
 // state adds how busy the own server is, and which priority is admitted here
 // and further down.
 func (n *Node) state(now time.Time, r *run, a *frame.Answer) {
--- a/pkg/callgraph/graph.go
+++ b/pkg/callgraph/graph.go
@@ -85,3 +85,14 @@
 	}
 	return floor
 }
+
+// Calls yields the calls that a run of r makes, with how often on average.
+func (g *Graph) Calls(r message.Route, yield func(child message.Route, mean float64)) {
+	n := g.routes[r]
+	if n == nil || n.runs < least {
+		return
+	}
+	for child, calls := range n.children {
+		yield(child, calls/n.runs)
+	}
+}
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -52,22 +52,33 @@
 	Inner      bool   // a call of a request that was admitted elsewhere
 	HasBody    bool   // the request has a body, though it may be empty
 	HeadOnly   bool   // the answer has no body, whatever its head says
-	Content    uint64 // hash of service, method, path and body
+	Origin     string // service of the instance where the request arrived
+	Content    uint64 // hash of host, method, path and body
 	Head       []byte // request line and header fields
 }
 
 // Answer ends an offer.
 type Answer struct {
+	_         struct{} `cbor:",toarray"`
+	ID        uint64   // of the offer
+	Outcome   outcome.Outcome
+	Reason    outcome.Reason
+	Sent      bool   // the request reached the backend server
+	Status    int    // HTTP status of the server's answer
+	Head      []byte // header fields of the server's answer
+	Floor     priority.Priority
+	Load      int // requests that run or wait at the server
+	Limit     int // requests that it runs at once
+	HasSpread bool
+	Spread    []Share // if HasSpread, the calls that a run of the route causes
+}
+
+// Share tells how often one run calls a service, in its own calls and in those
+// further down.
+type Share struct {
 	_       struct{} `cbor:",toarray"`
-	ID      uint64   // of the offer
-	Outcome outcome.Outcome
-	Reason  outcome.Reason
-	Sent    bool   // the request reached the backend server
-	Status  int    // HTTP status of the server's answer
-	Head    []byte // header fields of the server's answer
-	Floor   priority.Priority
-	Load    int // requests that run or wait at the server
-	Limit   int // requests that it runs at once
+	Service string
+	Calls   float32
 }
 
 // Cancel ends an offer whose sender no longer waits.
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -49,6 +49,7 @@
 	size    int
 	crashes int
 	refusal time.Duration
+	shared  bool // suspects run beside other requests
 }
 
 // record is what is known of one request. A record without crashes is kept
@@ -73,6 +74,11 @@
 // WithRefusal sets how long a request is refused.
 func WithRefusal(d time.Duration) Option { return func(q *Quarantine) { q.refusal = d } }
 
+// WithoutIsolation lets suspects run beside other requests. A request is refused
+// after enough crashes without a complete run in between: an innocent one, in
+// flight by chance, completes elsewhere and is cleared.
+func WithoutIsolation() Option { return func(q *Quarantine) { q.shared = true } }
+
 // New returns a quarantine without suspects.
 func New(options ...Option) *Quarantine {
 	q := &Quarantine{size: defaultSize, crashes: defaultCrashes, refusal: defaultRefusal}
@@ -98,6 +104,8 @@
 		return Clear
 	case q.convicted(rec):
 		return Refuse
+	case q.shared:
+		return Clear
 	default:
 		return Alone
 	}
@@ -182,7 +190,7 @@
 }
 
 func (q *Quarantine) convicted(rec record) bool {
-	return rec.crashes >= q.crashes && rec.alone > 0
+	return rec.crashes >= q.crashes && (q.shared || rec.alone > 0)
 }
 
 // lookup returns the record of r, or an empty one. A suspicion that has
