--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -2,10 +2,9 @@
 package main
 
 import (
+	"bytes"
 	"context"
-	"errors"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,18 +12,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/environment"
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/journal"
 	"github.com/papayapath/papayapath/internal/sidecar"
-	"github.com/papayapath/papayapath/internal/socket"
-	"github.com/papayapath/papayapath/platform/configuration"
-	"github.com/papayapath/papayapath/platform/header"
-	"github.com/papayapath/papayapath/platform/heartbeat"
+	"github.com/papayapath/papayapath/platform"
 	"github.com/papayapath/papayapath/platform/settings"
-	"github.com/papayapath/papayapath/platform/store"
 )
 
 const (
@@ -33,21 +27,21 @@
 	// memoryPart is the part of the allowed memory from which on the heap is
 	// collected more often.
 	memoryPart = 0.7
-	// logDialTimeout bounds the opening of a connection to the platform log.
-	logDialTimeout = time.Second
 	// flushTime bounds the wait for the last log lines.
 	flushTime = 200 * time.Millisecond
+	// fileCheck is how often the settings file is compared with what was read,
+	// since it can change without a signal.
+	fileCheck = 2 * time.Second
 )
 
 func main() {
-	if err := run(); err != nil {
+	if err := run(os.Getenv(settings.Variable)); err != nil {
 		fmt.Fprintln(os.Stderr, "sidecar:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
-	path := os.Getenv(settings.Variable)
+func run(path string) error {
 	env, err := settings.Read(path)
 	if err != nil {
 		return err
@@ -56,51 +50,60 @@
 	debug.SetMemoryLimit(int64(memoryPart * float64(env.Memory)))
 	j := journal.New(os.Stdout, logrus.Fields{"node": env.Name})
 	defer j.Flush(flushTime)
-	node := sidecar.New(env, header.Dialect{}, formats(), newLog(env), j)
-	stop := make(chan struct{})
-	go signals(path, env, node, j, stop)
-	return node.Run(context.Background(), stop)
+	s := &supervisor{path: path, env: env, journal: j, node: platform.NewNode(env, j), stop: make(chan struct{})}
+	go s.watch()
+	return s.node.Run(context.Background(), s.stop)
 }
 
-// formats returns the readers of what the platform's other parties write.
-func formats() sidecar.Formats {
-	return sidecar.Formats{
-		Configuration: configuration.Decode,
-		Topic:         configuration.Topic,
-		Key:           configuration.Key,
-		Server:        heartbeat.ID,
-		Heartbeat:     heartbeat.Decode,
-		IsExpired: func(err error) bool {
-			var e *store.Error
-			return errors.As(err, &e) && e.Status() == fasthttp.StatusGone
-		},
-	}
-}
-
-func newLog(env *environment.Environment) *store.Store {
-	return store.New(env.Log, func(address string) (net.Conn, error) {
-		return socket.Dial(context.Background(), address, logDialTimeout)
-	})
+// supervisor stops the node on SIGTERM and follows changes of the settings.
+type supervisor struct {
+	path    string
+	text    []byte // of the settings file as last read
+	env     *environment.Environment
+	journal *journal.Journal
+	node    *sidecar.Node
+	stop    chan struct{}
 }
 
-// signals stops the node on SIGTERM and reads the settings again on SIGHUP.
-func signals(path string, env *environment.Environment, node *sidecar.Node, j *journal.Journal, stop chan struct{}) {
+func (s *supervisor) watch() {
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	for s := range c {
-		if s != syscall.SIGHUP {
-			close(stop)
-			return
+	ticker := time.NewTicker(fileCheck)
+	defer ticker.Stop()
+	s.text, _ = os.ReadFile(s.path) //nolint:errcheck // run has read it; a failure shows at the next check
+	for {
+		select {
+		case sig := <-c:
+			if sig != syscall.SIGHUP {
+				close(s.stop)
+				return
+			}
+			s.reload("signal")
+		case <-ticker.C:
+			if text, err := os.ReadFile(s.path); err == nil && !bytes.Equal(text, s.text) {
+				s.reload("file")
+			}
 		}
-		next, err := settings.Read(path)
-		if err != nil {
-			j.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
-			continue
-		}
-		j.Write(event.Reloaded, logrus.Fields{"log": next.Log.String()})
-		if next.Log != env.Log {
-			node.SetLog(newLog(next))
-		}
-		env = next
 	}
 }
+
+// reload takes over changed settings. Those in force stay if the file has a
+// fault.
+func (s *supervisor) reload(cause string) {
+	text, err := os.ReadFile(s.path)
+	if err != nil {
+		s.journal.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
+		return
+	}
+	s.text = text
+	next, err := settings.Parse(s.path, string(text))
+	if err != nil {
+		s.journal.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
+		return
+	}
+	s.journal.Write(event.Reloaded, logrus.Fields{"cause": cause, "log": next.Log.String()})
+	if next.Log != s.env.Log {
+		s.node.SetLog(platform.NewLog(next))
+	}
+	s.env = next
+}
--- /dev/null
+++ b/internal/ingress/server_test.go
@@ -0,0 +1,231 @@
+package ingress_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/pkg/routing"
+)
+
+// handler answers with the method, the URI and the body, after a pause.
+type handler struct {
+	limits routing.Limits
+	pause  time.Duration
+	broken bool
+
+	mu        sync.Mutex
+	seen      []string
+	gone      int
+	malformed int
+}
+
+func (h *handler) Handle(r *ingress.Request) ingress.Reply {
+	text := string(r.Header.Method()) + " " + string(r.Header.RequestURI()) + " " + string(r.Body)
+	h.mu.Lock()
+	h.seen = append(h.seen, text)
+	h.mu.Unlock()
+	select {
+	case <-r.Gone:
+		h.mu.Lock()
+		h.gone++
+		h.mu.Unlock()
+	case <-time.After(h.pause):
+	}
+	return ingress.Reply{Status: fasthttp.StatusOK, Head: []byte("X-Test: 1\r\n"), Body: []byte(text), Broken: h.broken}
+}
+
+func (h *handler) Limits() routing.Limits { return h.limits }
+
+func (h *handler) Malformed(error) {
+	h.mu.Lock()
+	h.malformed++
+	h.mu.Unlock()
+}
+
+func (h *handler) requests() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.seen...)
+}
+
+func (h *handler) abandoned() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gone
+}
+
+// serve starts a server and returns it with a connection to it.
+func serve(t *testing.T, h *handler) (*ingress.Server, net.Conn) {
+	if h.limits.IdleTimeout == 0 {
+		h.limits = routing.New(0).Limits()
+	}
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := ingress.New(h)
+	go s.Serve(ln) //nolint:errcheck // ends with the listener
+	conn, err := net.Dial("tcp4", ln.Addr().String())
+	require.NoError(t, err)
+	require.NoError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	t.Cleanup(func() {
+		conn.Close()
+		ln.Close()
+	})
+	return s, conn
+}
+
+func send(t *testing.T, conn net.Conn, text string) {
+	_, err := io.WriteString(conn, strings.ReplaceAll(text, "\n", "\r\n"))
+	require.NoError(t, err)
+}
+
+func receive(t *testing.T, r *bufio.Reader) (int, string, bool) {
+	resp := &fasthttp.Response{}
+	require.NoError(t, resp.Read(r))
+	return resp.StatusCode(), string(resp.Body()), resp.ConnectionClose()
+}
+
+// Guards against a kept connection that mixes up requests and answers: with
+// bodies of each form, with a body on a GET and with requests sent ahead.
+func TestKeptConnection(t *testing.T) {
+	h := &handler{}
+	_, conn := serve(t, h)
+	r := bufio.NewReader(conn)
+	send(t, conn, "GET /one HTTP/1.1\nHost: a\n\n")
+	_, body, _ := receive(t, r)
+	require.Equal(t, "GET /one ", body)
+	send(t, conn, "POST /two HTTP/1.1\nHost: a\nContent-Length: 5\n\nhello")
+	_, body, _ = receive(t, r)
+	require.Equal(t, "POST /two hello", body)
+	send(t, conn, "POST /three HTTP/1.1\nHost: a\nTransfer-Encoding: chunked\n\n3\nabc\n2\nde\n0\n\n")
+	_, body, _ = receive(t, r)
+	require.Equal(t, "POST /three abcde", body)
+	send(t, conn, "GET /four HTTP/1.1\nHost: a\nContent-Length: 3\n\nxyzGET /five HTTP/1.1\nHost: a\n\nGET /six HTTP/1.1\nHost: a\n\n")
+	for _, want := range []string{"GET /four xyz", "GET /five ", "GET /six "} {
+		_, body, _ = receive(t, r)
+		require.Equal(t, want, body)
+	}
+}
+
+// Guards against a request that hides inside another one.
+func TestAmbiguousFramingIsRefused(t *testing.T) {
+	for _, head := range []string{
+		"Content-Length: 3\nContent-Length: 30\n",
+		"Content-Length: 3\nTransfer-Encoding: chunked\n",
+		"Transfer-Encoding: identity\n",
+		"Transfer-Encoding: chunked, chunked\n",
+		"Content-Length: +3\n",
+		"Content-Length : 3\n",
+		"X: 1\n Content-Length: 3\n",
+		"No colon\n",
+	} {
+		h := &handler{}
+		_, conn := serve(t, h)
+		send(t, conn, "POST / HTTP/1.1\nHost: a\n"+head+"\nabcGET /smuggled HTTP/1.1\nHost: a\n\n")
+		r := bufio.NewReader(conn)
+		resp := &fasthttp.Response{}
+		if err := resp.Read(r); err == nil {
+			require.Equal(t, fasthttp.StatusBadRequest, resp.StatusCode(), head)
+		}
+		rest, err := io.ReadAll(r)
+		require.Empty(t, rest, head)
+		_ = err // a reset is as good as an end here
+		require.Empty(t, h.requests(), head)
+	}
+}
+
+// Guards against work that goes on for a client which has left: after a close,
+// after a close of the sending half, and with bytes that were not yet read.
+func TestLeavingClientIsNoticed(t *testing.T) {
+	for name, leave := range map[string]func(net.Conn){
+		"close": func(c net.Conn) { c.Close() },
+		"half":  func(c net.Conn) { c.(*net.TCPConn).CloseWrite() },
+		"ahead": func(c net.Conn) { io.WriteString(c, "GET /next HT"); c.Close() },
+	} {
+		h := &handler{pause: 5 * time.Second}
+		_, conn := serve(t, h)
+		send(t, conn, "GET / HTTP/1.1\nHost: a\n\n")
+		require.Eventually(t, func() bool { return len(h.requests()) == 1 }, time.Second, time.Millisecond, name)
+		leave(conn)
+		require.Eventually(t, func() bool { return h.abandoned() == 1 }, time.Second, time.Millisecond, name)
+	}
+}
+
+// Guards against a broken answer that looks complete.
+func TestBrokenReplyEndsTheConnection(t *testing.T) {
+	_, conn := serve(t, &handler{broken: true})
+	send(t, conn, "GET / HTTP/1.1\nHost: a\n\n")
+	data, _ := io.ReadAll(conn)
+	require.Empty(t, data)
+}
+
+// Guards against a stopping node that cuts a request, or that keeps connections
+// on which clients go on sending.
+func TestStopClosesAfterTheAnswer(t *testing.T) {
+	h := &handler{pause: 50 * time.Millisecond}
+	s, conn := serve(t, h)
+	r := bufio.NewReader(conn)
+	send(t, conn, "GET /busy HTTP/1.1\nHost: a\n\n")
+	require.Eventually(t, func() bool { return s.Busy() == 1 }, time.Second, time.Millisecond)
+	s.Stop()
+	s.CloseIdle()
+	status, body, last := receive(t, r)
+	require.Equal(t, fasthttp.StatusOK, status)
+	require.Equal(t, "GET /busy ", body)
+	require.True(t, last)
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.Eventually(t, func() bool { return s.Open() == 0 && s.Busy() == 0 }, time.Second, time.Millisecond)
+}
+
+// Guards against connections that are never closed, and against ones that are
+// closed earlier than the configuration says.
+func TestIdleConnectionIsClosed(t *testing.T) {
+	h := &handler{limits: routing.Limits{
+		HeaderBytes: 1 << 14, BodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 100 * time.Millisecond,
+	}}
+	_, conn := serve(t, h)
+	r := bufio.NewReader(conn)
+	send(t, conn, "GET / HTTP/1.1\nHost: a\n\n")
+	receive(t, r)
+	start := time.Now()
+	_, err := r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+	require.GreaterOrEqual(t, time.Since(start), 90*time.Millisecond)
+}
+
+// Guards against a long head within the limit that is refused, and against one
+// beyond the limit that takes memory without bound.
+func TestLongHead(t *testing.T) {
+	h := &handler{}
+	_, conn := serve(t, h)
+	r := bufio.NewReader(conn)
+	send(t, conn, "GET /long HTTP/1.1\nHost: a\nX: "+strings.Repeat("x", 12<<10)+"\n\n")
+	_, body, _ := receive(t, r)
+	require.Equal(t, "GET /long ", body)
+	send(t, conn, "GET /longer HTTP/1.1\nHost: a\nX: "+strings.Repeat("x", 300<<10)+"\n\n")
+	resp := &fasthttp.Response{}
+	require.NoError(t, resp.Read(r))
+	require.Equal(t, fasthttp.StatusRequestHeaderFieldsTooLarge, resp.StatusCode())
+	require.Len(t, h.requests(), 1)
+}
+
+// Guards against a body beyond the limit that is taken.
+func TestLargeBodyIsRefused(t *testing.T) {
+	h := &handler{limits: routing.Limits{
+		HeaderBytes: 1 << 14, BodyBytes: 10, HeaderTimeout: time.Second, IdleTimeout: time.Second,
+	}}
+	_, conn := serve(t, h)
+	send(t, conn, "POST / HTTP/1.1\nHost: a\nContent-Length: 11\n\nhello world")
+	status, _, _ := receive(t, bufio.NewReader(conn))
+	require.Equal(t, fasthttp.StatusRequestEntityTooLarge, status)
+	require.Empty(t, h.requests())
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -48,6 +48,8 @@
 	mu      sync.Mutex
 	wanted  map[string]context.CancelFunc
 	links   map[string]*Link
+	passive map[*Link]struct{} // opened by other nodes
+	closed  bool
 	checked map[*Link]check
 }
 
@@ -63,6 +65,7 @@
 		handler: h,
 		wanted:  make(map[string]context.CancelFunc),
 		links:   make(map[string]*Link),
+		passive: make(map[*Link]struct{}),
 		checked: make(map[*Link]check),
 	}
 }
@@ -71,7 +74,7 @@
 func (m *Mesh) Want(ctx context.Context, address string) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if _, ok := m.wanted[address]; ok {
+	if _, ok := m.wanted[address]; ok || m.closed {
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -158,11 +161,45 @@
 			return err
 		}
 		l := newLink(conn, "")
-		go func() {
-			err := l.read(m.handler)
+		m.mu.Lock()
+		closed := m.closed
+		m.passive[l] = struct{}{}
+		m.mu.Unlock()
+		if closed {
 			l.Close()
-			m.handler.Down(l, err)
-		}()
+		}
+		go m.serveAccepted(l)
+	}
+}
+
+// serveAccepted runs a link that another node opened until it ends.
+func (m *Mesh) serveAccepted(l *Link) {
+	err := l.read(m.handler)
+	m.mu.Lock()
+	delete(m.passive, l)
+	m.mu.Unlock()
+	l.Close()
+	m.handler.Down(l, err)
+}
+
+// Close ends all links.
+func (m *Mesh) Close() {
+	m.mu.Lock()
+	m.closed = true
+	all := make([]*Link, 0, len(m.links)+len(m.passive))
+	for address, cancel := range m.wanted {
+		cancel()
+		delete(m.wanted, address)
+	}
+	for _, l := range m.links {
+		all = append(all, l)
+	}
+	for l := range m.passive {
+		all = append(all, l)
+	}
+	m.mu.Unlock()
+	for _, l := range all {
+		l.Close()
 	}
 }
 
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -30,6 +30,7 @@
 func (n *Node) Run(ctx context.Context, stop <-chan struct{}) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer n.mesh.Close()
 	n.ctx = ctx
 	listeners, err := n.listen(ctx)
 	if err != nil {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -230,7 +230,7 @@
 	bestUse, homeUse := 0.0, 0.0
 	candidates := n.candidates(service)
 	if len(candidates) == 0 {
-		return ""
+		return n.lastResort(service, tried)
 	}
 	offset := rand.IntN(len(candidates))
 	for i := range candidates {
@@ -247,12 +247,26 @@
 			home, homeUse = address, use
 		}
 	}
-	if home != "" && homeUse < homeRoom {
+	switch {
+	case best == "":
+		return n.lastResort(service, tried)
+	case home != "" && homeUse < homeRoom:
 		return home
 	}
 	return best
 }
 
+// lastResort returns the own node if it is stopping and its server could run
+// what no other server takes.
+func (n *Node) lastResort(service string, tried []string) string {
+	e := n.self
+	e.Stopping = false
+	if e.Takes(service) && !contains(tried, e.Node) {
+		return e.Node
+	}
+	return ""
+}
+
 func contains(list []string, s string) bool {
 	for _, l := range list {
 		if l == s {
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,210 @@
+package upstream_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/upstream"
+)
+
+// dialect knows answers by a field Id, signatures by a field Seal and refusals
+// by a field Not-Run.
+type dialect struct{}
+
+func (dialect) Answers(h *fasthttp.ResponseHeader, id string) bool { return string(h.Peek("Id")) == id }
+func (dialect) NotRun(h *fasthttp.ResponseHeader) bool             { return len(h.Peek("Not-Run")) > 0 }
+func (dialect) Sealed(h *fasthttp.ResponseHeader) bool             { return len(h.Peek("Seal")) > 0 }
+func (dialect) AppendAnswer(dst []byte, h *fasthttp.ResponseHeader) []byte {
+	return append(append(append(dst, "Id: "...), h.Peek("Id")...), "\r\n"...)
+}
+
+// serve has a script answer each request that arrives on a connection. script
+// gets the number of the request on all connections.
+func serve(t *testing.T, script func(n int, id string, c net.Conn) bool) (*upstream.Pool, *atomic.Int64) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	var requests, conns atomic.Int64
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			conns.Add(1)
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for {
+					req := &fasthttp.Request{}
+					if req.Read(r) != nil || !script(int(requests.Add(1)), string(req.Header.Peek("Id")), c) {
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return upstream.New(ln.Addr().String(), dialect{}, 1<<20), &conns
+}
+
+// do runs a request and returns its answer.
+func do(p *upstream.Pool, id string, wait time.Duration) *upstream.Answer {
+	answers := make(chan *upstream.Answer, 2)
+	p.Start(time.Now(), &upstream.Request{
+		ID: id, Data: []byte("GET / HTTP/1.1\r\nHost: a\r\nId: " + id + "\r\n\r\n"), Wait: wait,
+	}, func(a *upstream.Answer) { answers <- a })
+	return <-answers
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nSeal: 1\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+// Guards against new connections for each request.
+func TestConnectionsAreKept(t *testing.T) {
+	p, conns := serve(t, func(_ int, id string, c net.Conn) bool {
+		io.WriteString(c, answer(id, "body"))
+		return true
+	})
+	for i := range 5 {
+		a := do(p, fmt.Sprint(i), time.Second)
+		require.NoError(t, a.Err)
+		require.Equal(t, "body", string(a.Body))
+		require.Equal(t, fmt.Sprintf("Id: %d\r\n", i), string(a.Head))
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Equal(t, int64(1), conns.Load())
+}
+
+// Guards against an answer to another request that is passed on: one sent twice
+// at once, one that arrives while the connection is idle, and one that arrives
+// where the next answer is expected.
+func TestExtraAnswers(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "idle": 20 * time.Millisecond} {
+		p, _ := serve(t, func(n int, id string, c net.Conn) bool {
+			io.WriteString(c, answer(id, "first"))
+			time.Sleep(pause)
+			io.WriteString(c, answer(id, "extra"))
+			return true
+		})
+		for i := range 6 {
+			a := do(p, fmt.Sprint(i), time.Second)
+			require.NoError(t, a.Err, name)
+			require.Equal(t, "first", string(a.Body), name)
+			time.Sleep(40 * time.Millisecond)
+		}
+	}
+	p, _ := serve(t, func(n int, id string, c net.Conn) bool {
+		if n == 2 {
+			io.WriteString(c, answer("1", "late"))
+		}
+		io.WriteString(c, answer(id, "own"))
+		return true
+	})
+	for i := 1; i <= 3; i++ {
+		a := do(p, fmt.Sprint(i), time.Second)
+		require.NoError(t, a.Err)
+		require.Equal(t, "own", string(a.Body))
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// Guards against a broken answer that counts as whole, and against one that
+// counts as proof that the request did not run.
+func TestBrokenAnswers(t *testing.T) {
+	for name, script := range map[string]func(id string, c net.Conn){
+		"cut body":     func(id string, c net.Conn) { io.WriteString(c, answer(id, "whole body")[:60]) },
+		"cut chunks":   func(id string, c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab") },
+		"no answer":    func(string, net.Conn) {},
+		"garbage":      func(_ string, c net.Conn) { io.WriteString(c, "\x00\x01garbage\r\n\r\n") },
+		"other id":     func(_ string, c net.Conn) { io.WriteString(c, answer("other", "x")) },
+		"no signature": func(id string, c net.Conn) { io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 0\r\n\r\n") },
+		"encoded": func(id string, c net.Conn) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: 1\r\nContent-Encoding: gzip\r\nContent-Length: 0\r\n\r\n")
+		},
+		"reset without length": func(id string, c net.Conn) {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: 1\r\nConnection: close\r\n\r\npart")
+			time.Sleep(20 * time.Millisecond)
+			c.(*net.TCPConn).SetLinger(0)
+		},
+	} {
+		p, _ := serve(t, func(_ int, id string, c net.Conn) bool {
+			script(id, c)
+			return false
+		})
+		a := do(p, "1", time.Second)
+		require.Error(t, a.Err, name)
+		require.False(t, a.NotRun, name)
+		require.True(t, a.Sent, name)
+	}
+}
+
+// Guards against a whole answer without a length that counts as broken.
+func TestAnswerThatEndsWithItsConnection(t *testing.T) {
+	p, _ := serve(t, func(_ int, id string, c net.Conn) bool {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nSeal: 1\r\nConnection: close\r\n\r\nwhole")
+		return false
+	})
+	a := do(p, "1", time.Second)
+	require.NoError(t, a.Err)
+	require.Equal(t, "whole", string(a.Body))
+}
+
+// Guards against a request that waits for ever for a server which has fallen
+// silent, and against a refusal that is not believed.
+func TestSilentAndRefusingServer(t *testing.T) {
+	p, _ := serve(t, func(n int, id string, c net.Conn) bool {
+		if n == 1 {
+			time.Sleep(time.Second)
+			return false
+		}
+		io.WriteString(c, "HTTP/1.1 503 Busy\r\nId: "+id+"\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	a := do(p, "1", 50*time.Millisecond)
+	require.Error(t, a.Err)
+	require.True(t, a.Sent)
+	a = do(p, "2", time.Second)
+	require.NoError(t, a.Err)
+	require.True(t, a.NotRun)
+}
+
+// Guards against a request that counts as sent although there is no server.
+func TestUnreachableServer(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	ln.Close()
+	a := do(upstream.New(ln.Addr().String(), dialect{}, 1<<20), "1", time.Second)
+	require.True(t, upstream.IsUnreachable(a))
+	require.True(t, a.NotRun)
+	require.False(t, a.Sent)
+}
+
+// Guards against a server that goes on working for a request which was
+// canceled.
+func TestCancelClosesTheConnection(t *testing.T) {
+	ended := make(chan struct{})
+	started := make(chan struct{})
+	p, _ := serve(t, func(_ int, _ string, c net.Conn) bool {
+		close(started)
+		io.Copy(io.Discard, c)
+		close(ended)
+		return false
+	})
+	answers := make(chan *upstream.Answer, 2)
+	e := p.Start(time.Now(), &upstream.Request{ID: "1", Data: []byte("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), Wait: time.Minute},
+		func(a *upstream.Answer) { answers <- a })
+	<-started
+	e.Cancel()
+	<-ended
+	require.Error(t, (<-answers).Err)
+	require.Empty(t, answers)
+}
