Avoid servers that turn slow and ask another when an answer is overdue

Change: servers tell their run time, with the age of what runs now; a request that is given up counts as slow; the choice is by run time over free capacity. A repeatable request whose answer is overdue (mean and four deviations) goes to another server if the budgets of all called services allow. Nodes use three quarters of the retry budget together.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -15,6 +15,7 @@
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/latency"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/priority"
@@ -198,25 +199,81 @@
 		if reason != outcome.None {
 			return n.finish(c, reason)
 		}
+		patience := n.patience(c)
+		if patience > 0 {
+			timer.Reset(patience)
+		}
+	wait:
 		select {
 		case r := <-c.results:
+			if patience > 0 {
+				timer.Reset(time.Until(c.end))
+			}
 			if reply, ok := n.settle(c, &r); ok {
 				return reply
 			}
 		case <-gone:
-			n.abandon(id)
+			n.abandon(id, false)
 			n.figures.abandoned.Inc(1)
 			n.journal.Sample(time.Now(), event.RequestAbandoned, func() logrus.Fields { return c.fields() })
 			return ingress.Reply{Broken: true}
 		case <-timer.C:
-			return n.expire(c, id)
+			if patience == 0 {
+				return n.expire(c, id)
+			}
+			patience = 0
+			timer.Reset(time.Until(c.end))
+			if !n.overdue(c, id) {
+				goto wait
+			}
 		}
 	}
 }
 
+// patience returns how long the answer to a repeatable request is waited for
+// before another server is asked, or 0 for as long as there is time.
+func (n *Node) patience(c *call) time.Duration {
+	if !c.route.Repeatable() || c.sends+1 >= c.route.Attempts() {
+		return 0
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	e := n.latencies[c.key]
+	if e == nil {
+		return 0
+	}
+	wait, left := e.Overdue(), time.Until(c.end)
+	if wait == 0 || left-wait < e.Mean() {
+		return 0
+	}
+	return wait
+}
+
+// overdue gives an offer up whose answer is overdue, if the budgets allow the
+// request to run again. It reports whether it did.
+func (n *Node) overdue(c *call, id uint64) bool {
+	now := time.Now()
+	n.mu.Lock()
+	if n.pending[id] == nil || !n.spend(now, c, false) {
+		n.mu.Unlock()
+		return false
+	}
+	n.figures.retries.Inc(1)
+	n.mu.Unlock()
+	n.journal.Sample(now, event.RequestRetried, func() logrus.Fields {
+		f := c.fields()
+		f["outcome"] = "overdue"
+		return f
+	})
+	n.abandon(id, true)
+	c.sends++
+	c.doubtful = true
+	return true
+}
+
 // expire ends a request whose time is up.
 func (n *Node) expire(c *call, id uint64) ingress.Reply {
-	n.abandon(id)
+	n.abandon(id, true)
 	n.figures.expired.Inc(1)
 	n.journal.Sample(time.Now(), event.RequestExpired, func() logrus.Fields { return c.fields() })
 	return ingress.Reply{Status: fasthttp.StatusGatewayTimeout, Head: n.dialect.AppendRequestID(nil, c.id)}
@@ -288,12 +345,17 @@
 	n.serverAt(p.node).open--
 }
 
-// abandon cancels an offer whose answer is no longer wanted.
-func (n *Node) abandon(id uint64) {
+// abandon cancels an offer whose answer is no longer wanted, because it is late
+// or because the client has left.
+func (n *Node) abandon(id uint64, late bool) {
+	now := time.Now()
 	n.mu.Lock()
 	p := n.pending[id]
 	if p != nil {
 		n.close(id, p)
+		if late {
+			n.serverAt(p.node).slow(now, now.Sub(p.sentAt))
+		}
 	}
 	n.mu.Unlock()
 	switch {
@@ -315,8 +377,11 @@
 	}
 	n.close(a.ID, p)
 	s := n.serverAt(p.node)
-	s.load, s.limit, s.since, s.told = a.Load, a.Limit, 0, now
+	s.load, s.limit, s.time, s.since, s.told = a.Load, a.Limit, a.Time, 0, now
 	n.tell(now, p.call.key, a.Floor)
+	if a.Outcome == outcome.Complete && p.call.route.Repeatable() {
+		n.learn(p.call.key, now.Sub(p.sentAt))
+	}
 	if a.HasSpread {
 		n.spreads[p.call.key] = a.Spread
 	}
@@ -337,6 +402,19 @@
 	e.Tell(now, floor)
 }
 
+// learn records the latency of an answer.
+func (n *Node) learn(key message.Route, d time.Duration) {
+	e := n.latencies[key]
+	if e == nil {
+		if len(n.latencies) >= maxFloors {
+			clear(n.latencies)
+		}
+		e = &latency.Estimate{}
+		n.latencies[key] = e
+	}
+	e.Add(d)
+}
+
 // maxFloors bounds the table of thresholds, whose keys come from routes.
 const maxFloors = 4096
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -20,6 +20,7 @@
 	"github.com/papayapath/papayapath/pkg/callgraph"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/keyed"
+	"github.com/papayapath/papayapath/pkg/latency"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/presence"
 	"github.com/papayapath/papayapath/pkg/quarantine"
@@ -86,6 +87,7 @@
 	confirming bool
 	runner     *runner.Runner[*run]
 	graph      *callgraph.Graph
+	latencies  map[message.Route]*latency.Estimate // of repeatable routes
 	floors     map[message.Route]*threshold.Estimate
 	servers    map[string]*server // by address of the node
 	members    map[string][]string
@@ -116,6 +118,7 @@
 		presence:   &presence.Presence{},
 		runner:     runner.New[*run](),
 		graph:      callgraph.New(),
+		latencies:  make(map[message.Route]*latency.Estimate),
 		floors:     make(map[message.Route]*threshold.Estimate),
 		servers:    make(map[string]*server),
 		spreads:    make(map[message.Route][]frame.Share),
@@ -168,26 +171,54 @@
 // server is what this node knows of another node's server as a target.
 type server struct {
 	address string
-	load    int // requests that run or wait there, as last told
-	limit   int // requests that it runs at once, as last told
-	since   int // offers of this node since then
-	open    int // offers of this node without an answer
+	load    int           // requests that run or wait there, as last told
+	limit   int           // requests that it runs at once, as last told
+	time    time.Duration // that a request takes there, as last told
+	since   int           // offers of this node since then
+	open    int           // offers of this node without an answer
 	told    time.Time
 }
 
-// utilization estimates which part of the server's capacity is in use. What was
-// told loses its force with age, so that a server which was full gets requests
-// again that tell how it is now.
-func (s *server) utilization(now time.Time, slots int) float64 {
+// cost estimates how long a request would take at the server: its run time,
+// divided by the part of the capacity that is free. What was told loses its
+// force with age, so that a server which was full or slow gets requests again
+// that tell how it is now: its load falls to nothing and its run time to
+// typical, that of the other servers.
+func (s *server) cost(now time.Time, slots int, home bool, typical time.Duration) time.Duration {
 	limit := s.limit
 	if limit == 0 {
 		limit = max(1, slots)
 	}
-	load := float64(s.load)
-	if age := now.Sub(s.told); age > fresh {
-		load *= max(0, 1-float64(age-fresh)/float64(stale-fresh))
+	age := now.Sub(s.told)
+	load := s.load
+	run := max(s.time, shortest)
+	if run > typical {
+		run = typical + time.Duration(force(age, fresh, forgiven)*float64(run-typical))
 	}
-	return max(load+float64(s.since), float64(s.open)) / float64(limit)
+	use := max(force(age, fresh, stale)*float64(load)+float64(s.since), float64(s.open)) / float64(limit)
+	free := 1 - use
+	if free < leastFree {
+		// Beyond the limit each further request waits for another one.
+		free = leastFree / (1 + (leastFree-free)/leastFree)
+	}
+	if !home {
+		run += run/awayPart + awayTime
+	}
+	return time.Duration(float64(run) / free)
+}
+
+// force returns the part of what was told that still counts at an age: all
+// until from, nothing after to.
+func force(age, from, to time.Duration) float64 {
+	return max(0, min(1, 1-float64(age-from)/float64(to-from)))
+}
+
+// slow records that a request got no answer from the server for a time.
+func (s *server) slow(now time.Time, waited time.Duration) {
+	if waited > s.time {
+		s.time = waited
+	}
+	s.told = now
 }
 
 const (
@@ -195,9 +226,18 @@
 	fresh = 200 * time.Millisecond
 	// stale is the age from which a server's load says nothing.
 	stale = 2 * time.Second
-	// homeRoom is the utilization up to which a server of the own failure
-	// domain is preferred. Above it requests begin to wait for one another.
-	homeRoom = 0.6
+	// forgiven is the age from which a slow server counts like the others. It
+	// is longer than stale because finding out costs a slow request.
+	forgiven = 8 * time.Second
+	// leastFree is the part of the capacity that counts as free at least.
+	leastFree = 0.1
+	// shortest is the run time assumed of a server that has told none.
+	shortest = time.Millisecond
+	// awayPart and awayTime make a server in another failure domain look
+	// slower, by a part of its run time and by a round trip, so that traffic
+	// stays at home while that costs the caller nothing.
+	awayPart = 8
+	awayTime = 3 * time.Millisecond
 )
 
 // serverAt returns the record of the server beside a node.
@@ -226,36 +266,45 @@
 
 // choose returns the node to which a request is offered next, or "".
 func (n *Node) choose(now time.Time, service string, tried []string) string {
-	var best, home string
-	bestUse, homeUse := 0.0, 0.0
 	candidates := n.candidates(service)
-	if len(candidates) == 0 {
-		return n.lastResort(service, tried)
+	best, least := "", time.Duration(0)
+	typical := n.typical(candidates)
+	offset := 0
+	if len(candidates) > 0 {
+		offset = rand.IntN(len(candidates))
 	}
-	offset := rand.IntN(len(candidates))
 	for i := range candidates {
 		address := candidates[(i+offset)%len(candidates)]
 		if contains(tried, address) || address != n.self.Node && n.mesh.Link(address) == nil {
 			continue
 		}
 		e, _ := n.registry.Get(address)
-		use := n.serverAt(address).utilization(now, e.Slots)
-		if best == "" || use < bestUse {
-			best, bestUse = address, use
-		}
-		if e.Domain == n.self.Domain && (home == "" || use < homeUse) {
-			home, homeUse = address, use
+		cost := n.serverAt(address).cost(now, e.Slots, e.Domain == n.self.Domain, typical)
+		if best == "" || cost < least {
+			best, least = address, cost
 		}
 	}
-	switch {
-	case best == "":
+	if best == "" {
 		return n.lastResort(service, tried)
-	case home != "" && homeUse < homeRoom:
-		return home
 	}
 	return best
 }
 
+// typical returns the mean run time that the servers beside some nodes told.
+func (n *Node) typical(nodes []string) time.Duration {
+	sum, told := time.Duration(0), 0
+	for _, address := range nodes {
+		if s := n.servers[address]; s != nil && s.time > 0 {
+			sum += s.time
+			told++
+		}
+	}
+	if told == 0 {
+		return shortest
+	}
+	return sum / time.Duration(told)
+}
+
 // lastResort returns the own node if it is stopping and its server could run
 // what no other server takes.
 func (n *Node) lastResort(service string, tried []string) string {
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -233,7 +233,7 @@
 // and further down.
 func (n *Node) state(now time.Time, r *run, a *frame.Answer) {
 	a.Load = n.runner.Running() + n.runner.Queued()
-	a.Limit = n.runner.Limit()
+	a.Limit, a.Time = n.runner.Limit(), n.runner.Time(now)
 	a.Floor = max(n.runner.Floor(), n.graph.Floor(r.offer.Route, func(child message.Route) priority.Priority {
 		if e := n.floors[child]; e != nil {
 			return e.At(now)
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -8,7 +8,7 @@
 	// caution is the part of the budget that the nodes use together. The
 	// windows of the nodes and those of an observer are not aligned, and
 	// retries that are on their way when a window ends count in the next.
-	caution = 0.5
+	caution = 0.75
 )
 
 // Allowance is one node's share of the retry budget of one service, over a
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -67,8 +67,9 @@
 	Status    int    // HTTP status of the server's answer
 	Head      []byte // header fields of the server's answer
 	Floor     priority.Priority
-	Load      int // requests that run or wait at the server
-	Limit     int // requests that it runs at once
+	Load      int           // requests that run or wait at the server
+	Limit     int           // requests that it runs at once
+	Time      time.Duration // that a request takes there
 	HasSpread bool
 	Spread    []Share // if HasSpread, the calls that a run of the route causes
 }
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -62,6 +62,8 @@
 	queue   *queue.Queue[*Ticket[T]]
 	control *admission.Controller
 	mean    time.Duration // of a run
+	epoch   time.Time
+	starts  time.Duration // sum over the running requests of their start since epoch
 }
 
 // New returns the runner of a server without requests.
@@ -127,8 +129,12 @@
 }
 
 func (r *Runner[T]) begin(now time.Time, t *Ticket[T]) {
+	if r.running == 0 {
+		r.epoch, r.starts = now, 0
+	}
 	t.started, t.running = now, true
 	r.running++
+	r.starts += now.Sub(r.epoch)
 	r.control.Start(now.Sub(t.arrived))
 }
 
@@ -153,8 +159,10 @@
 	}
 	t.running = false
 	r.running--
-	if served {
-		d := now.Sub(t.started)
+	r.starts -= t.started.Sub(r.epoch)
+	d := now.Sub(t.started)
+	// A run that was given up would have taken longer than it did.
+	if served || d > r.mean {
 		if r.mean == 0 {
 			r.mean = d
 		}
@@ -205,5 +213,12 @@
 // Queued returns the number of requests that wait.
 func (r *Runner[T]) Queued() int { return r.queue.Len() }
 
-// Mean returns the mean run time of recent requests.
-func (r *Runner[T]) Mean() time.Duration { return r.mean }
+// Time returns how long a request takes at the server: the mean of recent runs,
+// or the mean age of the requests that run now if that is longer, since a server
+// that has turned slow shows so before its runs end.
+func (r *Runner[T]) Time(now time.Time) time.Duration {
+	if r.running == 0 {
+		return r.mean
+	}
+	return max(r.mean, now.Sub(r.epoch)-r.starts/time.Duration(r.running))
+}
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -117,3 +117,20 @@
 	v, _ = r.Offer(now, inner)
 	require.Equal(t, runner.Queued, v)
 }
+
+// Guards against a server that has turned slow and looks fast until its runs
+// end.
+func TestTimeShowsSlowRunsEarly(t *testing.T) {
+	r := runner.New[string]()
+	r.Announce(10, false)
+	for range 100 {
+		tk := ticket("fast", importance.Normal, false)
+		r.Offer(start, tk)
+		r.Done(start.Add(10*time.Millisecond), tk, true)
+	}
+	require.Equal(t, 10*time.Millisecond, r.Time(start).Round(time.Millisecond))
+	for i := range 4 {
+		r.Offer(start.Add(time.Duration(i)*10*time.Millisecond), ticket("slow", importance.Normal, false))
+	}
+	require.Equal(t, 185*time.Millisecond, r.Time(start.Add(200*time.Millisecond)).Round(time.Millisecond))
+}
