--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -124,3 +124,24 @@
 		})
 	}
 }
+
+// Guards against a request that crashes one server after another while others
+// run beside it, and against innocent requests that are refused with it.
+func TestWithoutIsolation(t *testing.T) {
+	q := quarantine.New(quarantine.WithoutIsolation())
+	now := time.Unix(1000, 0)
+	culprit, innocent := quarantine.Request{Content: 1}, quarantine.Request{Content: 2}
+	for i := range 3 {
+		require.Equal(t, quarantine.Clear, q.Check(now, culprit), i)
+		q.Crash(now, []quarantine.Request{culprit, innocent})
+		q.Complete(now, innocent)
+	}
+	require.Equal(t, quarantine.Refuse, q.Check(now, culprit))
+	require.Equal(t, quarantine.Clear, q.Check(now, innocent))
+	other := quarantine.New(quarantine.WithoutIsolation())
+	for _, s := range q.Changes(now, nil) {
+		other.Merge(now, s)
+	}
+	require.Equal(t, quarantine.Refuse, other.Check(now, culprit))
+	require.Equal(t, quarantine.Clear, other.Check(now, innocent))
+}
