Give an overdue answer up only for another server; spare timers

Cause: (1) a request whose answer was overdue was given up although no other server could run it, and answered as unknown. (2) Each request set up to six deadlines; each is a timer that can wake the process.

Change: another server must be there before a request is given up. A deadline that ended a watch crossed the next request of the connection and closed it (found by a load on kept connections, test added).

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -13,6 +13,8 @@
 
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/pkg/routing"
 )
 
 const (
@@ -22,6 +24,12 @@
 	writeTimeout = 30 * time.Second
 	// bodyPause bounds the time that a client takes for the body of a request.
 	bodyPause = 30 * time.Second
+	// deadlineParts is the divisor of a time-out that gives how far a read
+	// deadline may lie beyond it.
+	deadlineParts = 3
+	// directWrite is the size of an answer up to which the send buffer of a
+	// connection without other unsent bytes takes it at once.
+	directWrite = 8 << 10
 	// lingerTimeout bounds the wait for a client to close after a refusal.
 	lingerTimeout = 500 * time.Millisecond
 )
@@ -33,6 +41,7 @@
 	reader *bufio.Reader
 
 	ahead atomic.Bool // bytes of a following request have arrived
+	until time.Time   // read deadline
 
 	mu     sync.Mutex
 	inside bool // a request has begun to arrive or is being answered
@@ -56,7 +65,7 @@
 func (c *client) one() bool {
 	limits := c.server.handler.Limits()
 	if c.reader.Buffered() == 0 {
-		if c.conn.SetReadDeadline(time.Now().Add(limits.IdleTimeout)) != nil {
+		if !c.allow(time.Now(), limits.IdleTimeout) {
 			return false
 		}
 		if _, err := c.reader.Peek(1); err != nil {
@@ -68,24 +77,40 @@
 	}
 	arrived := time.Now()
 	c.server.last.Store(arrived.UnixNano())
-	if c.conn.SetReadDeadline(arrived.Add(limits.HeaderTimeout)) != nil {
-		return false
-	}
 	req := fasthttp.AcquireRequest()
-	if err := c.receive(req, limits.HeaderBytes, limits.BodyBytes); err != nil {
+	if err := c.receive(req, arrived, &limits); err != nil {
 		fasthttp.ReleaseRequest(req)
 		return c.malformed(err)
 	}
-	if c.conn.SetReadDeadline(time.Time{}) != nil {
+	if !c.allow(arrived, limits.IdleTimeout) {
+		fasthttp.ReleaseRequest(req)
 		return false
 	}
 	return c.answer(req, arrived)
 }
 
-// receive reads a request.
-func (c *client) receive(req *fasthttp.Request, maxHead, maxBody int) error {
+// allow gives the client at least d from now for what it sends next. A deadline
+// that lies a little later is left as it is: each change costs a timer, which
+// can wake the process.
+func (c *client) allow(now time.Time, d time.Duration) bool {
+	step := d / deadlineParts
+	if left := c.until.Sub(now); left >= d && left <= d+step {
+		return true
+	}
+	c.until = now.Add(d + step)
+	return c.conn.SetReadDeadline(c.until) == nil
+}
+
+// receive reads a request. A head that has arrived whole, as most do, needs no
+// deadline.
+func (c *client) receive(req *fasthttp.Request, now time.Time, limits *routing.Limits) error {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) //nolint:errcheck // never fails for what is buffered
+	if !bytes.Contains(buffered, headEnd) && !c.allow(now, limits.HeaderTimeout) {
+		return net.ErrClosed
+	}
 	err := req.Header.Read(c.reader)
 	var small *fasthttp.ErrSmallBuffer
+	maxHead := limits.HeaderBytes
 	for size := 4 * readBuffer; errors.As(err, &small) && size <= 2*max(maxHead, 4*readBuffer); size *= 2 {
 		c.grow(size)
 		req.Header.Reset()
@@ -105,12 +130,17 @@
 			return err
 		}
 	}
-	if err := c.conn.SetReadDeadline(time.Now().Add(bodyPause)); err != nil {
-		return err
+	if c.reader.Buffered() < req.Header.ContentLength() || req.Header.ContentLength() < 0 {
+		if !c.allow(now, bodyPause) {
+			return net.ErrClosed
+		}
 	}
-	return req.ContinueReadBody(c.reader, maxBody, false)
+	return req.ContinueReadBody(c.reader, limits.BodyBytes, false)
 }
 
+// headEnd is the empty line after a head.
+var headEnd = []byte("\r\n\r\n")
+
 // continueLine asks a client for the body that it holds back.
 var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
@@ -173,7 +203,9 @@
 			return false
 		}
 		if _, err := c.reader.Peek(n + 1); err != nil {
-			// The deadline in the past is how handle ends the watch.
+			// The deadline in the past is how handle ends the watch. A new one is
+			// needed after it.
+			c.until = time.Time{}
 			return !isTimeout(err)
 		}
 		c.ahead.Store(true)
@@ -209,11 +241,7 @@
 	done <- keep
 	if keep {
 		// The watch goes on as the wait for the next request, or ends if one is there.
-		until := time.Now().Add(c.server.handler.Limits().IdleTimeout)
-		if c.ahead.Load() {
-			until = time.Unix(0, 1)
-		}
-		if c.conn.SetReadDeadline(until) != nil {
+		if c.ahead.Load() && c.conn.SetReadDeadline(time.Unix(0, 1)) != nil {
 			c.conn.Close() //nolint:errcheck // ends the watch
 		}
 	}
@@ -267,7 +295,7 @@
 		b = append(b, r.Body...)
 	}
 	buf.B = b
-	if c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+	if len(b) > directWrite && c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
 		return false
 	}
 	_, err := c.conn.Write(b)
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -229,3 +229,18 @@
 	require.Equal(t, fasthttp.StatusRequestEntityTooLarge, status)
 	require.Empty(t, h.requests())
 }
+
+// Guards against a kept connection that is closed because the end of one
+// request and the start of the next one cross.
+func TestRequestsFollowAtOnce(t *testing.T) {
+	h := &handler{}
+	for range 4 {
+		_, conn := serve(t, h)
+		r := bufio.NewReader(conn)
+		for range 3000 {
+			send(t, conn, "GET /next HTTP/1.1\nHost: a\n\n")
+			_, body, _ := receive(t, r)
+			require.Equal(t, "GET /next ", body)
+		}
+	}
+}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -15,6 +15,9 @@
 	readBuffer = 4 << 10
 	// writeTimeout bounds a write to a node that does not read.
 	writeTimeout = 2 * time.Second
+	// deadlineStep is how far a write deadline may lie beyond what is needed.
+	// Each change of a deadline costs a timer, which can wake the process.
+	deadlineStep = time.Second
 	// keptBuffer is the largest write buffer that is kept between writes.
 	keptBuffer = 16 << 10
 )
@@ -31,6 +34,7 @@
 	spare   []byte
 	writing bool
 	closed  bool
+	until   time.Time // write deadline; belongs to the goroutine that writes
 }
 
 func newLink(conn net.Conn, address string) *Link { return &Link{conn: conn, address: address} }
@@ -88,8 +92,11 @@
 }
 
 func (l *Link) write(data []byte) error {
-	if err := l.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
+	if needed := time.Now().Add(writeTimeout); needed.After(l.until) {
+		l.until = needed.Add(deadlineStep)
+		if err := l.conn.SetWriteDeadline(l.until); err != nil {
+			return err
+		}
 	}
 	_, err := l.conn.Write(data)
 	return err
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -35,6 +35,9 @@
 	// returnPart is the part of the remaining time after which a refused
 	// client is asked to come back. Clients wait up to a third.
 	returnPart = 0.33
+	// minPatience is the shortest time after which an answer counts as overdue.
+	// Pauses of a process or its scheduling take up to some 10 ms.
+	minPatience = 50 * time.Millisecond
 	// minReturn is the shortest time after which a client is asked to come
 	// back. It covers the restart of a connection between nodes.
 	minReturn = 50 * time.Millisecond
@@ -246,7 +249,7 @@
 	if wait == 0 || left-wait < e.Mean() {
 		return 0
 	}
-	return wait
+	return max(wait, minPatience)
 }
 
 // overdue gives an offer up whose answer is overdue, if the budgets allow the
@@ -254,7 +257,7 @@
 func (n *Node) overdue(c *call, id uint64) bool {
 	now := time.Now()
 	n.mu.Lock()
-	if n.pending[id] == nil || !n.spend(now, c, false) {
+	if n.pending[id] == nil || n.choose(now, c.service, c.tried) == "" || !n.spend(now, c, false) {
 		n.mu.Unlock()
 		return false
 	}
@@ -451,7 +454,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if !n.spend(now, c, a.Outcome == outcome.NotRun) {
+	if n.choose(now, c.service, c.tried) == "" || !n.spend(now, c, a.Outcome == outcome.NotRun) {
 		return false
 	}
 	n.figures.retries.Inc(1)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,7 +30,8 @@
 
 	mu       sync.Mutex
 	exchange *Exchange
-	written  bool // the request has been written, or is by a single write
+	until    time.Time // when the exchange is given up
+	written  bool      // the request has been written, or is by a single write
 	closed   bool
 }
 
@@ -56,12 +57,9 @@
 	// Writes to a connection follow one another, so a request that is written
 	// at once cannot mix with the next one.
 	c.exchange, c.written = e, len(e.request.Data) <= directWrite
+	c.until = now.Add(e.request.Wait + answerSlack)
 	c.mu.Unlock()
-	deadline := now.Add(e.request.Wait + answerSlack)
-	err := c.net.SetDeadline(deadline)
-	if err == nil {
-		_, err = c.net.Write(e.request.Data)
-	}
+	_, err := c.net.Write(e.request.Data)
 	c.mu.Lock()
 	c.written = c.written || err == nil
 	c.mu.Unlock()
@@ -117,11 +115,6 @@
 	}
 	c.mu.Unlock()
 	e.detach()
-	if keep {
-		if err := c.net.SetDeadline(time.Time{}); err != nil {
-			keep = false
-		}
-	}
 	if keep {
 		c.release(time.Now())
 	} else {
@@ -131,6 +124,16 @@
 	return keep
 }
 
+// expire closes the connection if its exchange is overdue.
+func (c *conn) expire(now time.Time) {
+	c.mu.Lock()
+	overdue := c.exchange != nil && now.After(c.until)
+	c.mu.Unlock()
+	if overdue {
+		c.close()
+	}
+}
+
 func (c *conn) current() *Exchange {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,6 +25,9 @@
 	// answerSlack is added to the time that the server was given, so that its
 	// own answer at the deadline still arrives.
 	answerSlack = 20 * time.Millisecond
+	// sweepInterval is how often overdue exchanges are looked for. One timer for
+	// all of them spares a timer and its wake-up for each.
+	sweepInterval = 100 * time.Millisecond
 	// directWrite is the size up to which a request is written by the
 	// goroutine that starts it. Larger ones could block it.
 	directWrite = 16 << 10
@@ -72,16 +75,18 @@
 	dialect Dialect
 	maxBody int
 
-	mu     sync.Mutex
-	idle   []*conn // the most recently used one is last
-	open   int
-	dialed int
-	reused int
+	mu   sync.Mutex
+	idle []*conn // the most recently used one is last
+	all  map[*conn]struct{}
+	// sweeping says that a sweep is scheduled.
+	sweeping bool
+	dialed   int
+	reused   int
 }
 
 // New returns a pool without connections to the server at address.
 func New(address string, d Dialect, maxBody int) *Pool {
-	return &Pool{address: address, dialect: d, maxBody: maxBody}
+	return &Pool{address: address, dialect: d, maxBody: maxBody, all: make(map[*conn]struct{})}
 }
 
 // Exchange is a request that has been started.
@@ -155,8 +160,12 @@
 func (p *Pool) add(opened net.Conn) *conn {
 	c := newConn(p, opened)
 	p.mu.Lock()
-	p.open++
+	p.all[c] = struct{}{}
 	p.dialed++
+	if !p.sweeping {
+		p.sweeping = true
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
 	p.mu.Unlock()
 	go c.read()
 	return c
@@ -179,6 +188,25 @@
 	return nil
 }
 
+// sweep closes the connections whose exchange is overdue, as long as there are
+// connections.
+func (p *Pool) sweep() {
+	now := time.Now()
+	p.mu.Lock()
+	busy := make([]*conn, 0, len(p.all))
+	for c := range p.all {
+		busy = append(busy, c)
+	}
+	p.sweeping = len(busy) > 0
+	p.mu.Unlock()
+	for _, c := range busy {
+		c.expire(now)
+	}
+	if len(busy) > 0 {
+		time.AfterFunc(sweepInterval, p.sweep)
+	}
+}
+
 // put makes a connection idle.
 func (p *Pool) put(c *conn) {
 	p.mu.Lock()
@@ -190,7 +218,7 @@
 func (p *Pool) remove(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.open--
+	delete(p.all, c)
 	for i, other := range p.idle {
 		if other == c {
 			p.idle = append(p.idle[:i], p.idle[i+1:]...)
@@ -220,7 +248,7 @@
 func (p *Pool) Counts() (open, dialed, reused int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.open, p.dialed, p.reused
+	return len(p.all), p.dialed, p.reused
 }
 
 // Health asks the server's health check over a connection of its own.
