--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -56,7 +56,10 @@
 	tried    []string
 	sends    int // servers that the request may have reached
 	offers   int
-	doubtful bool // an earlier attempt may have run
+	doubtful bool              // an earlier attempt may have run
+	floor    priority.Priority // the threshold that refused the request, if one did
+	floorAge time.Duration
+	version  uint64 // of the configuration
 	results  chan result
 }
 
@@ -83,7 +86,9 @@
 	}
 	table := n.table.Load()
 	if table == nil {
-		return n.refuse(id, r.Arrived.Add(wait), outcome.Unavailable, "no configuration")
+		return n.refuse(id, r.Arrived.Add(wait), outcome.Unavailable, func() logrus.Fields {
+			return logrus.Fields{"detail": "no configuration"}
+		})
 	}
 	route := lookup(table, r.Header)
 	if route == nil {
@@ -91,8 +96,9 @@
 		return ingress.Reply{Status: fasthttp.StatusNotFound, Head: n.dialect.AppendRequestID(nil, id)}
 	}
 	c := n.newCall(id, wait, route, r)
+	c.version = table.Version()
 	if reason := n.admit(c); reason != outcome.None {
-		return n.refuse(id, c.end, reason, route.Name())
+		return n.refuse(id, c.end, reason, c.fields)
 	}
 	return n.run(c, r.Gone)
 }
@@ -166,6 +172,9 @@
 	n.allowance(c.service).Request(now)
 	if e := n.floors[c.key]; e != nil {
 		if !e.Admits(now, c.offer.Priority) {
+			var told time.Time
+			c.floor, told = e.Told()
+			c.floorAge = now.Sub(told)
 			return outcome.Overload
 		}
 	}
@@ -492,7 +501,7 @@
 // finish ends a request without a server's answer.
 func (n *Node) finish(c *call, reason outcome.Reason) ingress.Reply {
 	if !c.doubtful {
-		return n.refuse(c.id, c.end, reason, c.route.Name())
+		return n.refuse(c.id, c.end, reason, c.fields)
 	}
 	n.figures.doubtful.Inc(1)
 	n.journal.Sample(time.Now(), event.RequestDoubtful, func() logrus.Fields {
@@ -504,11 +513,13 @@
 }
 
 // refuse answers a request that has not run and never will.
-func (n *Node) refuse(id string, end time.Time, reason outcome.Reason, detail string) ingress.Reply {
+func (n *Node) refuse(id string, end time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
 	n.figures.refused.Inc(1)
 	now := time.Now()
 	n.journal.Sample(now, event.RequestRefused, func() logrus.Fields {
-		return logrus.Fields{"request": id, "reason": reason.String(), "detail": detail}
+		f := fields()
+		f["request"], f["reason"] = id, reason.String()
+		return f
 	})
 	wait := max(minReturn, time.Duration(returnPart*(0.5+0.5*rand.Float64())*float64(end.Sub(now))))
 	head := n.dialect.AppendRequestID(nil, id)
@@ -520,9 +531,14 @@
 
 // fields describes a request in a log line.
 func (c *call) fields() logrus.Fields {
-	return logrus.Fields{
-		"request": c.id, "route": c.route.Name(), "service": c.service,
+	f := logrus.Fields{
+		"request": c.id, "route": c.route.Name(), "service": c.service, "version": c.version,
+		"priority": c.offer.Priority, "inner": c.offer.Inner,
 		"offers": c.offers, "sends": c.sends, "nodes": strings.Join(c.tried, ","),
 		"age_ms": time.Since(c.start).Milliseconds(),
 	}
+	if c.floor > 0 {
+		f["floor"], f["floor_age_ms"] = c.floor, c.floorAge.Milliseconds()
+	}
+	return f
 }
--- a/pkg/presence/presence.go
+++ b/pkg/presence/presence.go
@@ -47,7 +47,6 @@
 	state    State
 	last     Heartbeat
 	seen     time.Time
-	warm     time.Time
 	left     Incarnation // the newest incarnation known to leave
 	fresh    int         // heartbeats in a row of the unconfirmed incarnation
 	failing  bool        // connections to the server fail
@@ -67,7 +66,6 @@
 		p.revision++
 	}
 	p.last, p.seen, p.failing = h, now, false
-	p.warm = now.Add(h.Cold)
 	switch {
 	case h.Draining:
 		p.drain()
@@ -164,9 +162,6 @@
 // Leaving returns the newest incarnation known to leave.
 func (p *Presence) Leaving() Incarnation { return p.left }
 
-// Cold reports whether the server is still slow after its start.
-func (p *Presence) Cold(now time.Time) bool { return now.Before(p.warm) }
-
 // String names the state as logs show it.
 func (s State) String() string {
 	switch s {
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -11,10 +11,7 @@
 const (
 	// fill is the part of the announced slots that is used. Servers slow down
 	// or stop answering when they are nearly full.
-	fill = 0.93
-	// coldFill is the part of the slots used while a server is slow after its
-	// start.
-	coldFill = 0.5
+	fill = 0.94
 	// defaultSlots is used until a server announces its slots.
 	defaultSlots = 16
 	// recent is the weight of one run in the mean run time.
@@ -57,7 +54,6 @@
 // concurrent use.
 type Runner[T any] struct {
 	slots   int
-	cold    bool
 	running int
 	queue   *queue.Queue[*Ticket[T]]
 	control *admission.Controller
@@ -71,22 +67,15 @@
 	return &Runner[T]{slots: defaultSlots, queue: queue.New[*Ticket[T]](), control: admission.New()}
 }
 
-// Announce sets the slots of the server and whether it is slow after its start.
-func (r *Runner[T]) Announce(slots int, cold bool) {
+// Announce sets the slots of the server.
+func (r *Runner[T]) Announce(slots int) {
 	if slots > 0 {
 		r.slots = slots
 	}
-	r.cold = cold
 }
 
 // Limit returns how many requests may run at once.
-func (r *Runner[T]) Limit() int {
-	part := fill
-	if r.cold {
-		part = coldFill
-	}
-	return max(1, int(part*float64(r.slots)))
-}
+func (r *Runner[T]) Limit() int { return max(1, int(fill*float64(r.slots))) }
 
 // Offer decides about a request. Evicted tickets, which made room for t, are
 // refused by the caller.
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -22,7 +22,7 @@
 // full returns a runner all of whose places are taken.
 func full(t *testing.T) (*runner.Runner[string], *runner.Ticket[string]) {
 	r := runner.New[string]()
-	r.Announce(1, false)
+	r.Announce(1)
 	first := ticket("first", importance.Normal, false)
 	v, _ := r.Offer(start, first)
 	require.Equal(t, runner.Run, v)
@@ -87,7 +87,7 @@
 // before, so that the work already done for them is lost.
 func TestInnerCallsAreNotHeldBackByTheThreshold(t *testing.T) {
 	r := runner.New[string]()
-	r.Announce(2, false)
+	r.Announce(2)
 	now := start
 	var running []*runner.Ticket[string]
 	for i := range 400 {
@@ -122,7 +122,7 @@
 // end.
 func TestTimeShowsSlowRunsEarly(t *testing.T) {
 	r := runner.New[string]()
-	r.Announce(10, false)
+	r.Announce(10)
 	for range 100 {
 		tk := ticket("fast", importance.Normal, false)
 		r.Offer(start, tk)
