Refuse requests at a stopping node that it could not end

Change: from 2.5 s after SIGTERM new requests are refused as not run; calls of the own server's runs are still taken; the node exits once all have ended.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -76,7 +76,6 @@
 		return false
 	}
 	arrived := time.Now()
-	c.server.last.Store(arrived.UnixNano())
 	req := fasthttp.AcquireRequest()
 	if err := c.receive(req, arrived, &limits); err != nil {
 		fasthttp.ReleaseRequest(req)
@@ -232,7 +231,6 @@
 	if !reply.Broken {
 		keep = c.write(&reply, headOnly, last) && !last
 	}
-	c.server.last.Store(time.Now().UnixNano())
 	c.server.busy.Add(-1)
 	c.leave()
 	if !keep {
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -44,7 +44,6 @@
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	busy    atomic.Int64
-	last    atomic.Int64 // Unix nanoseconds of the last request's end
 }
 
 // New returns a server without connections.
@@ -83,11 +82,6 @@
 // Busy returns the number of requests that are being answered.
 func (s *Server) Busy() int { return int(s.busy.Load()) }
 
-// Quiet returns the time since a request last arrived or ended.
-func (s *Server) Quiet(now time.Time) time.Duration {
-	return now.Sub(time.Unix(0, s.last.Load()))
-}
-
 // Open returns the number of connections.
 func (s *Server) Open() int {
 	s.mu.Lock()
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -169,6 +169,9 @@
 		n.services[c.key] = c.service
 		return outcome.None
 	}
+	if n.stopping && now.After(n.closing) {
+		return outcome.Draining
+	}
 	n.allowance(c.service).Request(now)
 	if e := n.floors[c.key]; e != nil {
 		if !e.Admits(now, c.offer.Priority) {
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -16,14 +16,12 @@
 	// leaveTime is how long a stopping node goes on as before: clients get
 	// elsewhere after two failed readiness checks, a second apart.
 	leaveTime = 2500 * time.Millisecond
-	// quietTime is how long a stopping node must have been without requests
-	// before it exits.
-	quietTime = 300 * time.Millisecond
 	// lastMoment is the time before the end of the grace period at which a
-	// stopping node exits although requests are open.
-	lastMoment = 300 * time.Millisecond
+	// stopping node exits although requests are open. It covers the end of the
+	// process itself.
+	lastMoment = 600 * time.Millisecond
 	// stopCheck is how often a stopping node looks whether it may exit.
-	stopCheck = 50 * time.Millisecond
+	stopCheck = 25 * time.Millisecond
 )
 
 // Run serves until stop is closed and the requests in progress have ended.
@@ -113,6 +111,7 @@
 	start := time.Now()
 	n.mu.Lock()
 	n.stopping, n.self.Stopping = true, true
+	n.closing = start.Add(leaveTime)
 	n.announce(start)
 	n.mu.Unlock()
 	n.journal.Write(event.Stopping, logrus.Fields{"grace_ms": n.env.Grace.Milliseconds(), "requests": n.clients.Busy()})
@@ -124,7 +123,7 @@
 		n.mu.Lock()
 		runs := len(n.runs)
 		n.mu.Unlock()
-		idle := runs == 0 && n.clients.Busy() == 0 && n.clients.Quiet(now) > quietTime
+		idle := runs == 0 && n.clients.Busy() == 0
 		if age > leaveTime && idle || age > n.env.Grace-lastMoment {
 			n.clients.CloseIdle()
 			return
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -102,7 +102,8 @@
 	running    map[string]*run // by id of the request
 	expiring   bool
 	stopping   bool
-	blind      bool // the log cannot be read
+	closing    time.Time // if stopping, from when on no request is begun
+	blind      bool      // the log cannot be read
 	publish    chan struct{}
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -92,7 +92,7 @@
 // where the next answer is expected.
 func TestExtraAnswers(t *testing.T) {
 	for name, pause := range map[string]time.Duration{"at once": 0, "idle": 20 * time.Millisecond} {
-		p, _ := serve(t, func(n int, id string, c net.Conn) bool {
+		p, _ := serve(t, func(_ int, id string, c net.Conn) bool {
 			io.WriteString(c, answer(id, "first"))
 			time.Sleep(pause)
 			io.WriteString(c, answer(id, "extra"))
