Hedge overdue requests, and leave no write deadline behind

Change: the first offer stays open while a second server is asked; no second server while the service is full or the node stops. The deadline is cleared; a test that outlasts it failed before.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -20,8 +20,9 @@
 const (
 	// readBuffer holds the head of most requests.
 	readBuffer = 2 << 10
-	// writeTimeout bounds the time that a client takes to read an answer.
-	writeTimeout = 30 * time.Second
+	// defaultWriteTimeout bounds the time that a client takes to read an
+	// answer. It is beyond the deadlines of clients.
+	defaultWriteTimeout = 30 * time.Second
 	// bodyPause bounds the time that a client takes for the body of a request.
 	bodyPause = 30 * time.Second
 	// deadlineParts is the divisor of a time-out that gives how far a read
@@ -293,11 +294,16 @@
 		b = append(b, r.Body...)
 	}
 	buf.B = b
-	if len(b) > directWrite && c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)) != nil {
+	if len(b) <= directWrite {
+		_, err := c.conn.Write(b)
+		return err == nil
+	}
+	if c.conn.SetWriteDeadline(time.Now().Add(c.server.writeTimeout)) != nil {
 		return false
 	}
 	_, err := c.conn.Write(b)
-	return err == nil
+	// The deadline would end later answers on the connection.
+	return err == nil && c.conn.SetWriteDeadline(time.Time{}) == nil
 }
 
 // bodyAllowed reports whether answers with a status have a body.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -38,17 +38,28 @@
 
 // Server accepts the connections of clients. It is safe for concurrent use.
 type Server struct {
-	handler  Handler
-	stopping atomic.Bool
+	handler      Handler
+	writeTimeout time.Duration
+	stopping     atomic.Bool
 
 	mu      sync.Mutex
 	clients map[*client]struct{}
 	busy    atomic.Int64
 }
 
+// Option sets a property of a Server.
+type Option func(*Server)
+
+// WithWriteTimeout bounds the time that a client takes to read an answer.
+func WithWriteTimeout(d time.Duration) Option { return func(s *Server) { s.writeTimeout = d } }
+
 // New returns a server without connections.
-func New(h Handler) *Server {
-	return &Server{handler: h, clients: make(map[*client]struct{})}
+func New(h Handler, options ...Option) *Server {
+	s := &Server{handler: h, writeTimeout: defaultWriteTimeout, clients: make(map[*client]struct{})}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
 // Serve accepts connections until the listener is closed.
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -63,6 +63,9 @@
 	return h.gone
 }
 
+// writeTimeout is short enough for tests to outlast it.
+const writeTimeout = 200 * time.Millisecond
+
 // serve starts a server and returns it with a connection to it.
 func serve(t *testing.T, h *handler) (*ingress.Server, net.Conn) {
 	if h.limits.IdleTimeout == 0 {
@@ -70,7 +73,7 @@
 	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := ingress.New(h)
+	s := ingress.New(h, ingress.WithWriteTimeout(writeTimeout))
 	go s.Serve(ln) //nolint:errcheck // ends with the listener
 	conn, err := net.Dial("tcp4", ln.Addr().String())
 	require.NoError(t, err)
@@ -244,3 +247,18 @@
 		}
 	}
 }
+
+// Guards against a connection that is closed without an answer because the
+// write deadline of an earlier, large answer has passed.
+func TestLargeAnswerLeavesNoDeadline(t *testing.T) {
+	_, conn := serve(t, &handler{})
+	r := bufio.NewReader(conn)
+	body := strings.Repeat("x", 20<<10)
+	send(t, conn, "POST /large HTTP/1.1\nHost: a\nContent-Length: 20480\n\n"+body)
+	_, got, _ := receive(t, r)
+	require.Len(t, got, len("POST /large ")+len(body))
+	time.Sleep(2 * writeTimeout)
+	send(t, conn, "GET /small HTTP/1.1\nHost: a\n\n")
+	_, got, _ = receive(t, r)
+	require.Equal(t, "GET /small ", got)
+}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -54,7 +55,8 @@
 	start    time.Time
 	end      time.Time // when the final answer is due
 	tried    []string
-	sends    int // servers that the request may have reached
+	open     []uint64 // offers without a result
+	sends    int      // servers that the request may have reached
 	offers   int
 	doubtful bool              // an earlier attempt may have run
 	floor    priority.Priority // the threshold that refused the request, if one did
@@ -207,44 +209,46 @@
 
 // run offers a request to servers until it has an answer.
 func (n *Node) run(c *call, gone <-chan struct{}) ingress.Reply {
-	timer := time.NewTimer(time.Until(c.end))
+	if reason := n.send(c); reason != outcome.None {
+		return n.finish(c, reason)
+	}
+	patience := n.patience(c)
+	timer := time.NewTimer(c.next(patience))
 	defer timer.Stop()
 	for {
-		id, reason := n.send(c)
-		if reason != outcome.None {
-			return n.finish(c, reason)
-		}
-		patience := n.patience(c)
-		if patience > 0 {
-			timer.Reset(patience)
-		}
-	wait:
 		select {
 		case r := <-c.results:
-			if patience > 0 {
-				timer.Reset(time.Until(c.end))
-			}
+			c.close(r.answer.ID)
 			if reply, ok := n.settle(c, &r); ok {
+				n.abandonAll(c, false)
 				return reply
 			}
 		case <-gone:
-			n.abandon(id, false)
+			n.abandonAll(c, false)
 			n.figures.abandoned.Inc(1)
 			n.journal.Sample(time.Now(), event.RequestAbandoned, func() logrus.Fields { return c.fields() })
 			return ingress.Reply{Broken: true}
 		case <-timer.C:
 			if patience == 0 {
-				return n.expire(c, id)
+				return n.expire(c)
 			}
 			patience = 0
-			timer.Reset(time.Until(c.end))
-			if !n.overdue(c, id) {
-				goto wait
-			}
+			timer.Reset(c.next(0))
+			n.hedge(c)
 		}
 	}
 }
 
+// next returns the time until a request is looked at again: when its answer is
+// overdue, or when its final answer is due.
+func (c *call) next(patience time.Duration) time.Duration {
+	left := time.Until(c.end)
+	if patience > 0 {
+		return min(patience, left)
+	}
+	return left
+}
+
 // patience returns how long the answer to a repeatable request is waited for
 // before another server is asked, or 0 for as long as there is time.
 func (n *Node) patience(c *call) time.Duration {
@@ -264,81 +268,99 @@
 	return max(wait, minPatience)
 }
 
-// overdue gives an offer up whose answer is overdue, if the budgets allow the
-// request to run again. It reports whether it did.
-func (n *Node) overdue(c *call, id uint64) bool {
+// hedge offers a request whose answer is overdue to a second server, if the
+// service has room and the budgets allow it to run again. The first offer
+// stays, since its answer may still come.
+func (n *Node) hedge(c *call) {
 	now := time.Now()
 	n.mu.Lock()
-	if n.pending[id] == nil || n.choose(now, c.service, c.tried) == "" || !n.spend(now, c, false) {
-		n.mu.Unlock()
-		return false
+	full := n.floors[c.key] != nil && n.floors[c.key].At(now) > 0
+	allowed := !n.stopping && !full && c.offers == 1 && len(c.open) == 1 && n.choose(now, c.service, c.tried) != "" && n.spend(now, c, false)
+	if allowed {
+		if p := n.pending[c.open[0]]; p != nil {
+			n.serverAt(p.node).slow(now, now.Sub(p.sentAt))
+		}
+		n.figures.retries.Inc(1)
 	}
-	n.figures.retries.Inc(1)
 	n.mu.Unlock()
+	if !allowed {
+		return
+	}
 	n.journal.Sample(now, event.RequestRetried, func() logrus.Fields {
 		f := c.fields()
 		f["outcome"] = "overdue"
 		return f
 	})
-	n.abandon(id, true)
-	c.sends++
-	c.doubtful = true
-	return true
+	n.send(c)
 }
 
 // expire ends a request whose time is up.
-func (n *Node) expire(c *call, id uint64) ingress.Reply {
-	n.abandon(id, true)
+func (n *Node) expire(c *call) ingress.Reply {
+	n.abandonAll(c, true)
 	n.figures.expired.Inc(1)
 	n.journal.Sample(time.Now(), event.RequestExpired, func() logrus.Fields { return c.fields() })
 	return ingress.Reply{Status: fasthttp.StatusGatewayTimeout, Head: n.dialect.AppendRequestID(nil, c.id)}
 }
 
-// send offers a request to the best node that was not tried. It returns the id
-// of the offer, or the reason why there is none.
-func (n *Node) send(c *call) (uint64, outcome.Reason) {
+// send offers a request to the best node that was not tried. It returns the
+// reason if there is none.
+func (n *Node) send(c *call) outcome.Reason {
 	for {
 		now := time.Now()
 		wait := c.end.Sub(now) - margin
 		if wait <= 0 {
-			return 0, outcome.Expired
+			return outcome.Expired
 		}
-		n.mu.Lock()
-		node := n.choose(now, c.service, c.tried)
-		if node == "" || c.offers >= maxOffers {
-			n.mu.Unlock()
-			if c.offers > 0 {
-				return 0, outcome.Overload
-			}
-			return 0, outcome.Unavailable
-		}
-		c.tried = append(c.tried, node)
-		c.offers++
-		id := n.offers.Add(1)
-		p := &pending{call: c, node: node, sentAt: now}
-		if node != n.self.Node {
-			p.link = n.mesh.Link(node)
+		id, p, reason := n.prepare(now, c)
+		if reason != outcome.None {
+			return reason
 		}
-		s := n.serverAt(node)
-		s.since++
-		s.open++
-		n.pending[id] = p
-		n.mu.Unlock()
-
 		o := c.offer
 		o.ID, o.Wait = id, wait
-		if node == n.self.Node {
+		if p.link == nil {
 			n.accept(now, nil, &o, c.body)
-			return id, outcome.None
+			return outcome.None
 		}
-		if p.link != nil && peer.Send(p.link, frame.KindOffer, &o, c.body) {
-			return id, outcome.None
+		// If the offer cannot be withdrawn, the link has ended meanwhile and
+		// the result is there.
+		if peer.Send(p.link, frame.KindOffer, &o, c.body) || !n.withdraw(id) {
+			return outcome.None
 		}
-		if !n.withdraw(id) {
-			// The link ended meanwhile and the result is there.
-			return id, outcome.None
+		c.close(id)
+	}
+}
+
+// prepare chooses a node for the next offer of a request and notes the offer.
+func (n *Node) prepare(now time.Time, c *call) (uint64, *pending, outcome.Reason) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	node := n.choose(now, c.service, c.tried)
+	switch {
+	case node == "" && c.offers == 0:
+		return 0, nil, outcome.Unavailable
+	case node == "" || c.offers >= maxOffers:
+		return 0, nil, outcome.Overload
+	}
+	p := &pending{call: c, node: node, sentAt: now}
+	if node != n.self.Node {
+		if p.link = n.mesh.Link(node); p.link == nil {
+			return 0, nil, outcome.Unavailable
 		}
 	}
+	c.tried = append(c.tried, node)
+	c.offers++
+	s := n.serverAt(node)
+	s.since++
+	s.open++
+	id := n.offers.Add(1)
+	n.pending[id] = p
+	c.open = append(c.open, id)
+	return id, p, outcome.None
+}
+
+// close forgets an offer that has ended.
+func (c *call) close(id uint64) {
+	c.open = slices.DeleteFunc(c.open, func(o uint64) bool { return o == id })
 }
 
 // withdraw forgets an offer that was not sent. It returns false if the offer
@@ -360,6 +382,14 @@
 	n.serverAt(p.node).open--
 }
 
+// abandonAll cancels the offers of a request whose answer is no longer wanted.
+func (n *Node) abandonAll(c *call, late bool) {
+	for _, id := range c.open {
+		n.abandon(id, late)
+	}
+	c.open = nil
+}
+
 // abandon cancels an offer whose answer is no longer wanted, because it is late
 // or because the client has left.
 func (n *Node) abandon(id uint64, late bool) {
@@ -434,28 +464,34 @@
 const maxFloors = 4096
 
 // settle decides what follows from the result of an offer. It returns false if
-// the request is offered to another node.
+// another offer of the request is open or has been made.
 func (n *Node) settle(c *call, r *result) (ingress.Reply, bool) {
 	a := &r.answer
 	if a.Sent {
 		c.sends++
 	}
+	c.doubtful = c.doubtful || a.Sent && a.Outcome == outcome.Unknown
+	failed := a.Outcome == outcome.Complete && a.Status == fasthttp.StatusInternalServerError
 	switch {
-	case a.Outcome == outcome.Complete && a.Status == fasthttp.StatusInternalServerError && n.again(c, a):
-		return ingress.Reply{}, false
-	case a.Outcome == outcome.Complete:
+	case a.Outcome == outcome.Complete && !failed:
 		n.figures.complete(time.Since(c.start))
 		return ingress.Reply{Status: a.Status, Head: a.Head, Body: r.body}, true
+	case len(c.open) > 0:
+		return ingress.Reply{}, false
 	case a.Reason == outcome.Suspect:
 		return n.finish(c, a.Reason), true
-	case a.Outcome == outcome.NotRun && !a.Sent:
-		return ingress.Reply{}, false
 	}
-	c.doubtful = c.doubtful || a.Outcome == outcome.Unknown
-	if !n.again(c, a) {
-		return n.finish(c, a.Reason), true
+	reason := a.Reason
+	if a.Outcome == outcome.NotRun && !a.Sent || n.again(c, a) {
+		reason = n.send(c)
+		if reason == outcome.None {
+			return ingress.Reply{}, false
+		}
+	}
+	if failed {
+		return ingress.Reply{Status: a.Status, Head: a.Head, Body: r.body}, true
 	}
-	return ingress.Reply{}, false
+	return n.finish(c, reason), true
 }
 
 // again decides whether a request that reached a server is sent to another one.
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -60,17 +60,17 @@
 		return logrus.Fields{"node": l.Address(), "detail": cause.Error()}
 	})
 	n.mu.Lock()
-	var lost []*pending
+	lost := make(map[uint64]*pending)
 	for id, p := range n.pending {
 		if p.link == l {
 			n.close(id, p)
-			lost = append(lost, p)
+			lost[id] = p
 		}
 	}
 	n.mu.Unlock()
-	for _, p := range lost {
+	for id, p := range lost {
 		// The answer may have been on its way: the request may have run.
-		p.call.results <- result{answer: frame.Answer{Outcome: outcome.Unknown, Reason: outcome.Broken, Sent: true}}
+		p.call.results <- result{answer: frame.Answer{ID: id, Outcome: outcome.Unknown, Reason: outcome.Broken, Sent: true}}
 	}
 }
 
