Cancel the offer of a test once it has arrived

Cause: TestCanceledOfferCancelsTheCall canceled 50 ms after the start; beside load the handshake took longer, and the offer was, rightly, reported as not sent.

Change: the test cancels when the other node has got the call, and asserts the same.

--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -21,16 +21,18 @@
 // handler answers calls with their own body.
 type handler struct {
 	hold     bool
+	held     chan struct{} // closed when a call that is held has arrived
 	canceled chan struct{}
 	control  chan instance.ID
 }
 
 func newHandler() *handler {
-	return &handler{canceled: make(chan struct{}), control: make(chan instance.ID, 1)}
+	return &handler{held: make(chan struct{}), canceled: make(chan struct{}), control: make(chan instance.ID, 1)}
 }
 
 func (h *handler) Offer(ctx context.Context, _ instance.ID, o *message.Offer, body []byte, sink reply.Sink) {
 	if h.hold {
+		close(h.held)
 		<-ctx.Done()
 		close(h.canceled)
 		return
@@ -119,7 +121,11 @@
 	h.hold = true
 	_, to := open(t, a, h)
 	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(50*time.Millisecond, cancel)
+	defer cancel()
+	go func() {
+		<-h.held
+		cancel()
+	}()
 	err := client.Offer(ctx, to, &message.Offer{}, nil, &collector{})
 	var want *link.SendError
 	require.ErrorAs(t, err, &want)
