Probe faded thresholds with one request; add commands to the node's program

Cause: when a threshold that an entry node had been told lost its force, all requests of the route passed until the next answer, and not one.

Change: a request that passes only because the threshold has faded restarts its force (threshold.Ask, as the dispatcher does).

--- /dev/null
+++ b/cmd/sidecar/check.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"runtime/debug"
+
+	"github.com/google/subcommands"
+
+	"github.com/papayapath/papayapath/platform/settings"
+)
+
+// checkCommand reads a settings file and prints what the node makes of it.
+type checkCommand struct{ out io.Writer }
+
+// Name returns the name of the command.
+func (*checkCommand) Name() string { return "check" }
+
+// Synopsis describes the command in a line.
+func (*checkCommand) Synopsis() string { return "check a settings file" }
+
+// Usage describes the arguments.
+func (*checkCommand) Usage() string {
+	return "check [FILE]: reads FILE, or the file that " + settings.Variable + " names.\n"
+}
+
+// SetFlags sets no flags.
+func (*checkCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute runs the command.
+func (c *checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	path := os.Getenv(settings.Variable)
+	if f.NArg() > 0 {
+		path = f.Arg(0)
+	}
+	env, err := settings.Read(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	fmt.Fprintf(c.out, "instance %s in %s, server of %s at %s\n", env.Name, env.Domain, env.Service, env.Backend)
+	fmt.Fprintf(c.out, "callers %s, readiness %s, heartbeats %s, nodes %s, log %s\n",
+		env.Callers, env.Probes, env.Heartbeats, env.Links, env.Log)
+	fmt.Fprintf(c.out, "grace period %s, memory %d MiB, retries %g of the requests and %g in %s\n",
+		env.Grace, env.Memory>>20, env.RetryRatio, env.RetrySlack, env.RetryWindow)
+	return subcommands.ExitSuccess
+}
+
+// versionCommand prints the version.
+type versionCommand struct{ out io.Writer }
+
+// Name returns the name of the command.
+func (*versionCommand) Name() string { return "version" }
+
+// Synopsis describes the command in a line.
+func (*versionCommand) Synopsis() string { return "print the version" }
+
+// Usage describes the arguments.
+func (*versionCommand) Usage() string { return "version\n" }
+
+// SetFlags sets no flags.
+func (*versionCommand) SetFlags(*flag.FlagSet) {}
+
+// Execute runs the command.
+func (c *versionCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
+	version := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		version = info.Main.Version
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				version += " " + s.Value
+			}
+		}
+	}
+	fmt.Fprintln(c.out, version)
+	return subcommands.ExitSuccess
+}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -175,17 +175,27 @@
 		return outcome.Draining
 	}
 	n.allowance(c.service).Request(now)
-	if e := n.floors[c.key]; e != nil {
-		if !e.Admits(now, c.offer.Priority) {
-			var told time.Time
-			c.floor, told = e.Told()
-			c.floorAge = now.Sub(told)
-			return outcome.Overload
-		}
+	if e := n.floors[c.key]; e != nil && !n.pass(now, c, e) {
+		return outcome.Overload
 	}
 	return outcome.None
 }
 
+// pass reports whether a new request is above the threshold of its route. One
+// that passes only because the threshold has lost its force finds out for the
+// others whether it still stands.
+func (n *Node) pass(now time.Time, c *call, e *threshold.Estimate) bool {
+	floor, told := e.Told()
+	if !e.Admits(now, c.offer.Priority) {
+		c.floor, c.floorAge = floor, now.Sub(told)
+		return false
+	}
+	if c.offer.Priority < floor {
+		e.Ask(now)
+	}
+	return true
+}
+
 // parent returns the run that makes a call, as far as the id of the call tells.
 func (n *Node) parent(id string) *run {
 	for i := len(id) - 1; i > 0; i-- {
