--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -59,8 +59,9 @@
 	cancel    context.CancelFunc
 	tasks     conc.WaitGroup
 
-	mu    sync.Mutex
-	conns map[netip.AddrPort]*connection
+	mu     sync.Mutex
+	closed bool // no connection is opened any more
+	conns  map[netip.AddrPort]*connection
 }
 
 // connection is a connection that is open or being opened. ready is closed
@@ -124,6 +125,7 @@
 	l.cancel()
 	_ = l.listener.Close()
 	l.mu.Lock()
+	l.closed = true
 	for _, c := range l.conns {
 		if c.conn != nil {
 			_ = c.conn.CloseWithError(0, "closed")
@@ -197,6 +199,10 @@
 func (l *Link) connect(ctx context.Context, address netip.AddrPort) (*quic.Conn, error) {
 	l.mu.Lock()
 	c := l.conns[address]
+	if c == nil && l.closed {
+		l.mu.Unlock()
+		return nil, net.ErrClosed
+	}
 	if c == nil {
 		c = &connection{ready: make(chan struct{})}
 		l.conns[address] = c
