Wait until other nodes have read their answers before a node leaves

Cause: a stopping node took a call for ended once the answer was written to its stream. The last part of a large answer could still wait for flow control or for a lost packet when the news of the departure, which goes as a datagram, made the other node close the connection. The caller got an unexpected EOF.

Change: the calling node ends its side of the stream only when it has read the answer, and a stopping node waits for that before it leaves.

TestAnswerIsUnsettledUntilRead guards the mechanism without load.

--- a/internal/link/call.go
+++ b/internal/link/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/netip"
+	"time"
 
 	"github.com/quic-go/quic-go"
 	"github.com/sourcegraph/conc/pool"
@@ -36,12 +37,14 @@
 		reset(str)
 		return &SendError{to: to, cause: err}
 	}
-	_ = str.Close()
 	heard := func(from instance.ID) { l.note(conn, from) }
 	if err := receive(str, heard, sink); err != nil {
 		reset(str)
 		return &SendError{to: to, sent: true, cause: err}
 	}
+	// The end of this side of the stream tells the other node that the answer
+	// has arrived.
+	_ = str.Close()
 	return nil
 }
 
@@ -100,6 +103,8 @@
 }
 
 func (l *Link) serveCall(conn *quic.Conn, str *quic.Stream, address netip.AddrPort) {
+	l.unread.Add(1)
+	defer l.unread.Add(-1)
 	frame, err := message.NewFrameReader(str).Next()
 	if err != nil || frame.Offer == nil || frame.From.Address() != address {
 		reset(str)
@@ -108,13 +113,29 @@
 	l.note(conn, frame.From)
 	sink := &streamSink{link: l, stream: str}
 	l.handler.Offer(str.Context(), frame.From, frame.Offer, frame.Data, sink)
-	if sink.finished {
-		_ = str.Close()
+	if !sink.finished {
+		reset(str)
 		return
 	}
-	reset(str)
+	_ = str.Close()
+	awaitReceipt(str)
 }
 
+// awaitReceipt waits until the node that made a call has read the answer, or
+// has gone. What has been written may still wait to be sent, and is lost if the
+// connection is closed.
+func awaitReceipt(str *quic.Stream) {
+	if err := str.SetReadDeadline(time.Now().Add(receiptTimeout)); err != nil {
+		return
+	}
+	if _, err := io.Copy(io.Discard, str); err != nil {
+		reset(str)
+	}
+}
+
+// Settled reports whether all answers to other nodes have been read there.
+func (l *Link) Settled() bool { return l.unread.Load() == 0 }
+
 // streamSink writes an answer to the node that made the call. It holds back
 // one frame, so that a short answer goes out in a single write.
 type streamSink struct {
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/quic-go/quic-go"
@@ -31,6 +32,9 @@
 	// maxDatagram is the largest control message sent as a datagram; 1200
 	// bytes is the smallest MTU of QUIC, less room for headers.
 	maxDatagram = 1100
+	// receiptTimeout is how long a node is given to read the end of an answer.
+	// A slow caller of a large download takes some seconds.
+	receiptTimeout = 30 * time.Second
 	// resetCode ends a stream whose answer is no longer wanted.
 	resetCode quic.StreamErrorCode = 1
 )
@@ -58,6 +62,7 @@
 	ctx       context.Context
 	cancel    context.CancelFunc
 	tasks     conc.WaitGroup
+	unread    atomic.Int64 // calls of other nodes whose answer has not been read there
 
 	mu     sync.Mutex
 	closed bool // no connection is opened any more
--- a/internal/link/link_test.go
+++ b/internal/link/link_test.go
@@ -113,6 +113,35 @@
 	wait.Wait()
 }
 
+// slowCollector is a collector that takes nothing until it is released.
+type slowCollector struct {
+	collector
+	release chan struct{}
+}
+
+func (c *slowCollector) Data(p []byte) error {
+	<-c.release
+	return c.collector.Data(p)
+}
+
+// Guards against a node that stops while the end of an answer is still on its
+// way: the answer is written, but not read by the node that made the call.
+func TestAnswerIsUnsettledUntilRead(t *testing.T) {
+	a := newAuthority(t)
+	client, _ := open(t, a, newHandler())
+	server, to := open(t, a, newHandler())
+	got := slowCollector{release: make(chan struct{})}
+	body := make([]byte, 3*message.ChunkSize)
+	done := make(chan error, 1)
+	go func() { done <- client.Offer(t.Context(), to, &message.Offer{}, body, &got) }()
+	require.Eventually(t, func() bool { return !server.Settled() }, 5*time.Second, time.Millisecond)
+	require.Never(t, server.Settled, 100*time.Millisecond, time.Millisecond)
+	close(got.release)
+	require.NoError(t, <-done)
+	require.Eventually(t, server.Settled, 5*time.Second, time.Millisecond)
+	require.Len(t, got.body, len(body))
+}
+
 // Guards against work that goes on after its caller has gone.
 func TestCanceledOfferCancelsTheCall(t *testing.T) {
 	a := newAuthority(t)
--- a/internal/runtime/stop.go
+++ b/internal/runtime/stop.go
@@ -31,14 +31,15 @@
 	return err
 }
 
-// awaitDrained waits until no call is open, or until ctx ends.
+// awaitDrained waits until no call is open and other nodes have read the
+// answers to theirs, or until ctx ends.
 func (r *Runtime) awaitDrained(ctx context.Context) bool {
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
 	for {
 		drained := false
 		r.View(func(n *node.Node) { drained = n.Drained() && len(r.inbound) == 0 })
-		if drained {
+		if drained && r.link.Settled() {
 			return true
 		}
 		select {
