Give calls of a run the priority of their request alone

Internal routes rank with calendar checks, so reads for browsing competed with checks as equals, and checks were refused or late while browsing ran: 47% of the checks were in time.

Change: a call has the priority of the request that it belongs to.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -153,7 +153,9 @@
 }
 
 // admit decides whether a request is begun. Calls of the own server's runs
-// belong to requests that were admitted before, and always are.
+// belong to requests that were admitted before, and always are. They have the
+// priority of these, whatever that of their own route: a call for a less
+// important request must not take the place of a more important request.
 func (n *Node) admit(c *call) outcome.Reason {
 	now := time.Now()
 	n.mu.Lock()
@@ -166,7 +168,7 @@
 	}
 	if parent := n.parent(c.id); parent != nil {
 		c.offer.Inner = true
-		c.offer.Priority = max(parent.offer.Priority, c.offer.Priority)
+		c.offer.Priority = parent.offer.Priority
 		n.graph.Call(parent.offer.Route, c.key)
 		n.services[c.key] = c.service
 		return outcome.None
