Bound the requests in progress by the time that they wait for places

Change: answers tell how long a request and its calls waited for places, and whether a call was refused for want of one. Each entry node keeps a window of requests in progress for each route (pkg/window), which shrinks while the mean wait is above an eighth of the latency objective. Thresholds leave the node on the platform; the queue beside the server serves and evicts by priority.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -22,7 +22,7 @@
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/routing"
-	"github.com/papayapath/papayapath/pkg/threshold"
+	"github.com/papayapath/papayapath/pkg/window"
 )
 
 const (
@@ -58,10 +58,14 @@
 	open     []uint64 // offers without a result
 	sends    int      // servers that the request may have reached
 	offers   int
-	doubtful bool              // an earlier attempt may have run
-	floor    priority.Priority // the threshold that refused the request, if one did
-	floorAge time.Duration
-	version  uint64 // of the configuration
+	doubtful bool           // an earlier attempt may have run
+	parent   *run           // the run that makes the call, if one is known
+	window   *window.Window // in which the request counts, nil for calls of runs
+	full     *window.Window // the window that refused the request, if one did
+	delay    time.Duration  // waited for places at servers, with all calls
+	turned   bool           // a node had no place for it
+	refused  bool           // it, or one of its calls, ended for want of a place
+	version  uint64         // of the configuration
 	results  chan result
 }
 
@@ -102,7 +106,27 @@
 	if reason := n.admit(c); reason != outcome.None {
 		return n.refuse(id, c.end, reason, c.fields)
 	}
-	return n.run(c, r.Gone)
+	reply := n.run(c, r.Gone)
+	n.ended(c, reply.Broken)
+	return reply
+}
+
+// ended passes the delay of a request on: to the run that made it, or to the
+// window of its route, unless it was abandoned before it could tell.
+func (n *Node) ended(c *call, abandoned bool) {
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case c.parent != nil:
+		c.parent.delay += c.delay
+		c.parent.refused = c.parent.refused || c.refused
+	case c.window == nil:
+	case abandoned:
+		c.window.Leave()
+	default:
+		c.window.End(now, window.Sample{Start: c.start, Delay: c.delay, Refused: c.refused})
+	}
 }
 
 // lookup finds the route of a request.
@@ -168,6 +192,7 @@
 	}
 	if parent := n.parent(c.id); parent != nil {
 		c.offer.Inner = true
+		c.parent = parent
 		c.offer.Priority = parent.offer.Priority
 		n.graph.Call(parent.offer.Route, c.key)
 		n.services[c.key] = c.service
@@ -177,25 +202,26 @@
 		return outcome.Draining
 	}
 	n.allowance(c.service).Request(now)
-	if e := n.floors[c.key]; e != nil && !n.pass(now, c, e) {
+	w := n.window(c.key, c.route)
+	if !w.Admit(now) {
+		c.full = w
 		return outcome.Overload
 	}
+	c.window = w
 	return outcome.None
 }
 
-// pass reports whether a new request is above the threshold of its route. One
-// that passes only because the threshold has lost its force finds out for the
-// others whether it still stands.
-func (n *Node) pass(now time.Time, c *call, e *threshold.Estimate) bool {
-	floor, told := e.Told()
-	if !e.Admits(now, c.offer.Priority) {
-		c.floor, c.floorAge = floor, now.Sub(told)
-		return false
-	}
-	if c.offer.Priority < floor {
-		e.Ask(now)
+// window returns the window of a route, new if need be.
+func (n *Node) window(key message.Route, route *routing.Route) *window.Window {
+	w := n.windows[key]
+	if w == nil {
+		if len(n.windows) >= maxRoutes {
+			clear(n.windows)
+		}
+		w = window.New(route.Objective())
+		n.windows[key] = w
 	}
-	return true
+	return w
 }
 
 // parent returns the run that makes a call, as far as the id of the call tells.
@@ -286,7 +312,8 @@
 func (n *Node) hedge(c *call) {
 	now := time.Now()
 	n.mu.Lock()
-	full := n.floors[c.key] != nil && n.floors[c.key].At(now) > 0
+	w := n.windows[c.key]
+	full := w != nil && w.Congested()
 	allowed := !n.stopping && !full && c.offers == 1 && len(c.open) == 1 && n.choose(now, c.service, c.tried) != "" && n.spend(now, c, false)
 	if allowed {
 		if p := n.pending[c.open[0]]; p != nil {
@@ -435,7 +462,9 @@
 	n.close(a.ID, p)
 	s := n.serverAt(p.node)
 	s.load, s.limit, s.time, s.since, s.told = a.Load, a.Limit, a.Time, 0, now
-	n.tell(now, p.call.key, a.Floor)
+	p.call.delay += a.Delay
+	p.call.refused = p.call.refused || a.Refused
+	p.call.turned = p.call.turned || a.Outcome == outcome.NotRun && !a.Sent && noPlace(a.Reason)
 	if a.Outcome == outcome.Complete && p.call.route.Repeatable() {
 		n.learn(p.call.key, now.Sub(p.sentAt))
 	}
@@ -446,24 +475,11 @@
 	p.call.results <- result{answer: *a, body: body}
 }
 
-// tell records the threshold that a route meets at its service or further down.
-func (n *Node) tell(now time.Time, key message.Route, floor priority.Priority) {
-	e := n.floors[key]
-	if e == nil {
-		if len(n.floors) >= maxFloors {
-			clear(n.floors)
-		}
-		e = &threshold.Estimate{}
-		n.floors[key] = e
-	}
-	e.Tell(now, floor)
-}
-
 // learn records the latency of an answer.
 func (n *Node) learn(key message.Route, d time.Duration) {
 	e := n.latencies[key]
 	if e == nil {
-		if len(n.latencies) >= maxFloors {
+		if len(n.latencies) >= maxRoutes {
 			clear(n.latencies)
 		}
 		e = &latency.Estimate{}
@@ -472,8 +488,8 @@
 	e.Add(d)
 }
 
-// maxFloors bounds the table of thresholds, whose keys come from routes.
-const maxFloors = 4096
+// maxRoutes bounds the tables whose keys come from routes.
+const maxRoutes = 4096
 
 // settle decides what follows from the result of an offer. It returns false if
 // another offer of the request is open or has been made.
@@ -551,6 +567,7 @@
 
 // finish ends a request without a server's answer.
 func (n *Node) finish(c *call, reason outcome.Reason) ingress.Reply {
+	c.refused = c.refused || c.turned
 	if !c.doubtful {
 		return n.refuse(c.id, c.end, reason, c.fields)
 	}
@@ -563,6 +580,12 @@
 	return ingress.Reply{Status: fasthttp.StatusBadGateway, Head: n.dialect.AppendRequestID(nil, c.id)}
 }
 
+// noPlace reports whether a node refused a request because its server had no
+// place for it in time.
+func noPlace(r outcome.Reason) bool {
+	return r == outcome.Overload || r == outcome.Preempted || r == outcome.Expired
+}
+
 // refuse answers a request that has not run and never will.
 func (n *Node) refuse(id string, end time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
 	n.figures.refused.Inc(1)
@@ -588,8 +611,8 @@
 		"offers": c.offers, "sends": c.sends, "nodes": strings.Join(c.tried, ","),
 		"age_ms": time.Since(c.start).Milliseconds(),
 	}
-	if c.floor > 0 {
-		f["floor"], f["floor_age_ms"] = c.floor, c.floorAge.Milliseconds()
+	if w := c.full; w != nil {
+		f["window"], f["open"], f["delay_ms"] = int(w.Size()), w.Open(), w.Delay().Milliseconds()
 	}
 	return f
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -27,7 +27,7 @@
 	"github.com/papayapath/papayapath/pkg/registry"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/runner"
-	"github.com/papayapath/papayapath/pkg/threshold"
+	"github.com/papayapath/papayapath/pkg/window"
 )
 
 // Dialect translates header fields.
@@ -88,7 +88,7 @@
 	runner     *runner.Runner[*run]
 	graph      *callgraph.Graph
 	latencies  map[message.Route]*latency.Estimate // of repeatable routes
-	floors     map[message.Route]*threshold.Estimate
+	windows    map[message.Route]*window.Window
 	servers    map[string]*server // by address of the node
 	members    map[string][]string
 	memberedAt uint64 // changes of the registry at which members was derived
@@ -120,7 +120,7 @@
 		runner:     runner.New[*run](),
 		graph:      callgraph.New(),
 		latencies:  make(map[message.Route]*latency.Estimate),
-		floors:     make(map[message.Route]*threshold.Estimate),
+		windows:    make(map[message.Route]*window.Window),
 		servers:    make(map[string]*server),
 		spreads:    make(map[message.Route][]frame.Share),
 		services:   make(map[message.Route]string),
--- a/internal/sidecar/run.go
+++ b/internal/sidecar/run.go
@@ -14,7 +14,6 @@
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/presence"
-	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/runner"
 )
@@ -30,6 +29,8 @@
 	ticket   runner.Ticket[*run]
 	exchange *upstream.Exchange
 	canceled bool
+	delay    time.Duration // that the calls of the run waited for places
+	refused  bool          // a call of the run found no place
 }
 
 // runKey identifies an offer: its id is unique on the link on which it came.
@@ -50,7 +51,7 @@
 func (n *Node) accept(now time.Time, from *peer.Link, o *frame.Offer, body []byte) {
 	r := &run{key: runKey{link: from, id: o.ID}, offer: *o, body: body}
 	r.ticket = runner.Ticket[*run]{
-		Value: r, Priority: o.Priority, Expires: now.Add(o.Wait), Inner: o.Inner,
+		Value: r, Priority: o.Priority, Expires: now.Add(o.Wait),
 	}
 	n.mu.Lock()
 	if reason := n.gate(now, o); reason != outcome.None {
@@ -229,17 +230,12 @@
 	return all
 }
 
-// state adds how busy the own server is, and which priority is admitted here
-// and further down.
+// state adds how busy the own server is, and how long the request waited for a
+// place, here and further down.
 func (n *Node) state(now time.Time, r *run, a *frame.Answer) {
 	a.Load = n.runner.Running() + n.runner.Queued()
 	a.Limit, a.Time = n.runner.Limit(), n.runner.Time(now)
-	a.Floor = max(n.runner.Floor(), n.graph.Floor(r.offer.Route, func(child message.Route) priority.Priority {
-		if e := n.floors[child]; e != nil {
-			return e.At(now)
-		}
-		return 0
-	}))
+	a.Delay, a.Refused = r.ticket.Waited(now)+r.delay, r.refused
 }
 
 // notRun returns the answer to an offer that is refused.
@@ -250,7 +246,7 @@
 	n.journal.Sample(now, event.OfferRefused, func() logrus.Fields {
 		return logrus.Fields{
 			"request": r.offer.Request, "reason": reason.String(), "priority": r.offer.Priority,
-			"floor": a.Floor, "running": n.runner.Running(), "queued": n.runner.Queued(),
+			"waited_ms": a.Delay.Milliseconds(), "running": n.runner.Running(), "queued": n.runner.Queued(),
 			"limit": a.Limit, "server": n.presence.State().String(), "inner": r.offer.Inner,
 		}
 	})
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -63,10 +63,11 @@
 	ID        uint64   // of the offer
 	Outcome   outcome.Outcome
 	Reason    outcome.Reason
-	Sent      bool   // the request reached the backend server
-	Status    int    // HTTP status of the server's answer
-	Head      []byte // header fields of the server's answer
-	Floor     priority.Priority
+	Sent      bool          // the request reached the backend server
+	Status    int           // HTTP status of the server's answer
+	Head      []byte        // header fields of the server's answer
+	Delay     time.Duration // that the request and its calls waited for places
+	Refused   bool          // a call of the request found no place
 	Load      int           // requests that run or wait at the server
 	Limit     int           // requests that it runs at once
 	Time      time.Duration // that a request takes there
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/papayapath/papayapath/pkg/admission"
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/queue"
 )
@@ -33,7 +32,6 @@
 	Value    T
 	Priority priority.Priority
 	Expires  time.Time // when the request must have been answered
-	Inner    bool      // a call of a request that was admitted elsewhere
 
 	handle  queue.Handle
 	arrived time.Time
@@ -44,7 +42,7 @@
 
 // Waited returns how long the ticket has been queued or was until it ran.
 func (t *Ticket[T]) Waited(now time.Time) time.Duration {
-	if t.running {
+	if !t.started.IsZero() {
 		return t.started.Sub(t.arrived)
 	}
 	return now.Sub(t.arrived)
@@ -56,7 +54,6 @@
 	slots   int
 	running int
 	queue   *queue.Queue[*Ticket[T]]
-	control *admission.Controller
 	mean    time.Duration // of a run
 	epoch   time.Time
 	starts  time.Duration // sum over the running requests of their start since epoch
@@ -64,7 +61,7 @@
 
 // New returns the runner of a server without requests.
 func New[T any]() *Runner[T] {
-	return &Runner[T]{slots: defaultSlots, queue: queue.New[*Ticket[T]](), control: admission.New()}
+	return &Runner[T]{slots: defaultSlots, queue: queue.New[*Ticket[T]]()}
 }
 
 // Announce sets the slots of the server.
@@ -81,28 +78,20 @@
 // refused by the caller.
 func (r *Runner[T]) Offer(now time.Time, t *Ticket[T]) (v Verdict, evicted *Ticket[T]) {
 	t.arrived = now
-	r.control.Arrive(t.Priority)
-	r.control.Adapt(now, r.queue.Len())
 	if r.running < r.Limit() && r.queue.Len() == 0 {
 		r.begin(now, t)
 		return Run, nil
 	}
-	if !t.Inner && t.Priority < r.control.Threshold() {
-		return Refused, nil
-	}
 	if r.late(now, t) {
-		r.control.Refuse()
 		return Refused, nil
 	}
 	if r.queue.Len() >= r.bound() {
 		lowest, _ := r.queue.Lowest()
 		if lowest.Priority >= t.Priority {
-			r.control.Refuse()
 			return Refused, nil
 		}
 		evicted, _ = r.queue.Evict()
 		evicted.queued = false
-		r.control.Refuse()
 	}
 	t.queued = true
 	t.handle = r.queue.Push(t.Priority, t.Expires.Add(-r.mean), t)
@@ -124,7 +113,6 @@
 	t.started, t.running = now, true
 	r.running++
 	r.starts += now.Sub(r.epoch)
-	r.control.Start(now.Sub(t.arrived))
 }
 
 // Next returns a queued ticket that may run now, or nil.
@@ -175,9 +163,7 @@
 	out = r.queue.Due(now, out)
 	for _, t := range out[first:] {
 		r.Cancel(t)
-		r.control.Refuse()
 	}
-	r.control.Adapt(now, r.queue.Len())
 	return out
 }
 
@@ -193,9 +179,6 @@
 	}
 }
 
-// Floor returns the lowest priority that is admitted.
-func (r *Runner[T]) Floor() priority.Priority { return r.control.Threshold() }
-
 // Running returns the number of requests at the server.
 func (r *Runner[T]) Running() int { return r.running }
 
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -13,9 +13,9 @@
 
 var start = time.Unix(1000, 0)
 
-func ticket(name string, level importance.Level, inner bool) *runner.Ticket[string] {
+func ticket(name string, level importance.Level) *runner.Ticket[string] {
 	return &runner.Ticket[string]{
-		Value: name, Priority: priority.Lowest(level), Expires: start.Add(time.Second), Inner: inner,
+		Value: name, Priority: priority.Lowest(level), Expires: start.Add(time.Second),
 	}
 }
 
@@ -23,7 +23,7 @@
 func full(t *testing.T) (*runner.Runner[string], *runner.Ticket[string]) {
 	r := runner.New[string]()
 	r.Announce(1)
-	first := ticket("first", importance.Normal, false)
+	first := ticket("first", importance.Normal)
 	v, _ := r.Offer(start, first)
 	require.Equal(t, runner.Run, v)
 	return r, first
@@ -32,8 +32,8 @@
 // Guards against a reservation that waits behind browsing.
 func TestMoreImportantRunsFirst(t *testing.T) {
 	r, first := full(t)
-	r.Offer(start, ticket("browse", importance.Normal, false))
-	r.Offer(start, ticket("reserve", importance.Critical, false))
+	r.Offer(start, ticket("browse", importance.Normal))
+	r.Offer(start, ticket("reserve", importance.Critical))
 	require.Nil(t, r.Next(start))
 	r.Done(start, first, true)
 	require.Equal(t, "reserve", r.Next(start).Value)
@@ -43,14 +43,14 @@
 // requests that stay queued past their deadline.
 func TestExpiredRequestsLeaveTheQueue(t *testing.T) {
 	r, _ := full(t)
-	v, _ := r.Offer(start, ticket("waits", importance.Normal, false))
+	v, _ := r.Offer(start, ticket("waits", importance.Normal))
 	require.Equal(t, runner.Queued, v)
 	require.Empty(t, r.Expire(start, nil))
 	expired := r.Expire(start.Add(time.Second), nil)
 	require.Len(t, expired, 1)
 	require.Equal(t, "waits", expired[0].Value)
 	require.Zero(t, r.Queued())
-	late := ticket("late", importance.Normal, false)
+	late := ticket("late", importance.Normal)
 	v, _ = r.Offer(start.Add(2*time.Second), late)
 	require.Equal(t, runner.Refused, v)
 }
@@ -59,13 +59,13 @@
 func TestFullQueueGivesWayToImportantWork(t *testing.T) {
 	r, _ := full(t)
 	for range 4 {
-		v, evicted := r.Offer(start, ticket("browse", importance.Normal, false))
+		v, evicted := r.Offer(start, ticket("browse", importance.Normal))
 		require.Equal(t, runner.Queued, v)
 		require.Nil(t, evicted)
 	}
-	v, _ := r.Offer(start, ticket("browse", importance.Normal, false))
+	v, _ := r.Offer(start, ticket("browse", importance.Normal))
 	require.Equal(t, runner.Refused, v)
-	v, evicted := r.Offer(start, ticket("reserve", importance.Critical, false))
+	v, evicted := r.Offer(start, ticket("reserve", importance.Critical))
 	require.Equal(t, runner.Queued, v)
 	require.Equal(t, "browse", evicted.Value)
 }
@@ -73,7 +73,7 @@
 // Guards against a place that stays taken after a request was canceled.
 func TestCancelFreesTheQueue(t *testing.T) {
 	r, first := full(t)
-	waits := ticket("waits", importance.Normal, false)
+	waits := ticket("waits", importance.Normal)
 	r.Offer(start, waits)
 	require.True(t, r.Cancel(waits))
 	require.False(t, r.Cancel(waits))
@@ -83,39 +83,62 @@
 	require.Zero(t, r.Running())
 }
 
-// Guards against overload that refuses calls of requests which were admitted
-// before, so that the work already done for them is lost.
-func TestInnerCallsAreNotHeldBackByTheThreshold(t *testing.T) {
+// Guards against important requests that are refused or late at a server that
+// gets twice as many calls of less important ones as it can run.
+func TestOverloadByLessImportantCalls(t *testing.T) {
+	const slots, runs = 40, 20 * time.Millisecond
 	r := runner.New[string]()
-	r.Announce(2)
-	now := start
+	r.Announce(slots)
 	var running []*runner.Ticket[string]
-	for i := range 400 {
-		now = now.Add(5 * time.Millisecond)
-		tk := ticket("load", importance.Normal, false)
-		tk.Expires = now.Add(200 * time.Millisecond)
-		if v, _ := r.Offer(now, tk); v == runner.Run {
-			running = append(running, tk)
+	var ends []time.Time
+	waited, checks, browsing := time.Duration(0), 0, 0
+	begin := func(now time.Time, tk *runner.Ticket[string]) {
+		running, ends = append(running, tk), append(ends, now.Add(runs))
+		if tk.Value == "check" {
+			waited = max(waited, tk.Waited(now))
+			checks++
+			return
 		}
-		r.Expire(now, nil)
-		if i%8 == 0 && len(running) > 0 {
+		browsing++
+	}
+	for i := range 4000 {
+		now := start.Add(time.Duration(i) * 250 * time.Microsecond)
+		for len(ends) > 0 && !ends[0].After(now) {
 			r.Done(now, running[0], true)
-			running = running[1:]
-			if next := r.Next(now); next != nil {
-				running = append(running, next)
-			}
+			running, ends = running[1:], ends[1:]
 		}
+		for tk := r.Next(now); tk != nil; tk = r.Next(now) {
+			begin(now, tk)
+		}
+		r.Expire(now, nil)
+		tk := ticket("read", importance.Normal)
+		if i%10 == 0 {
+			tk = ticket("check", importance.High)
+		}
+		tk.Expires = now.Add(700 * time.Millisecond)
+		v, evicted := r.Offer(now, tk)
+		if v == runner.Run {
+			begin(now, tk)
+		}
+		require.False(t, v == runner.Refused && tk.Value == "check", "a check is refused at %v", now.Sub(start))
+		require.False(t, evicted != nil && evicted.Value == "check", "a check makes room at %v", now.Sub(start))
 	}
-	require.NotZero(t, r.Floor())
-	outer, inner := ticket("outer", importance.Background, false), ticket("inner", importance.Background, true)
-	outer.Expires, inner.Expires = now.Add(time.Hour), now.Add(time.Hour)
-	for _, tk := range r.Flush(nil) {
-		require.NotNil(t, tk)
-	}
-	v, _ := r.Offer(now, outer)
-	require.Equal(t, runner.Refused, v)
-	v, _ = r.Offer(now, inner)
-	require.Equal(t, runner.Queued, v)
+	require.Greater(t, checks, 390)
+	require.Less(t, waited, 2*runs)
+	require.Greater(t, browsing, 1000, "the server is kept busy")
+}
+
+// Guards against a request that seems to have waited for a place while it ran,
+// so that long runs look like a lack of places.
+func TestWaitedDoesNotCountTheRun(t *testing.T) {
+	r, first := full(t)
+	second := ticket("second", importance.Normal)
+	r.Offer(start, second)
+	r.Done(start.Add(30*time.Millisecond), first, true)
+	require.Equal(t, second, r.Next(start.Add(30*time.Millisecond)))
+	r.Done(start.Add(90*time.Millisecond), second, true)
+	require.Zero(t, first.Waited(start.Add(time.Second)))
+	require.Equal(t, 30*time.Millisecond, second.Waited(start.Add(time.Second)))
 }
 
 // Guards against a server that has turned slow and looks fast until its runs
@@ -124,13 +147,13 @@
 	r := runner.New[string]()
 	r.Announce(10)
 	for range 100 {
-		tk := ticket("fast", importance.Normal, false)
+		tk := ticket("fast", importance.Normal)
 		r.Offer(start, tk)
 		r.Done(start.Add(10*time.Millisecond), tk, true)
 	}
 	require.Equal(t, 10*time.Millisecond, r.Time(start).Round(time.Millisecond))
 	for i := range 4 {
-		r.Offer(start.Add(time.Duration(i)*10*time.Millisecond), ticket("slow", importance.Normal, false))
+		r.Offer(start.Add(time.Duration(i)*10*time.Millisecond), ticket("slow", importance.Normal))
 	}
 	require.Equal(t, 185*time.Millisecond, r.Time(start.Add(200*time.Millisecond)).Round(time.Millisecond))
 }
