Ask clients to return while their objective can still be met

Change: for want of a place, the time to come back is spread over what leaves time for one and a half mean latencies before the objective. Other reasons (no server, no configuration, a stop) keep the longer time.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -92,7 +92,7 @@
 	}
 	table := n.table.Load()
 	if table == nil {
-		return n.refuse(id, r.Arrived.Add(wait), outcome.Unavailable, func() logrus.Fields {
+		return n.refuse(id, nil, r.Arrived.Add(wait), outcome.Unavailable, func() logrus.Fields {
 			return logrus.Fields{"detail": "no configuration"}
 		})
 	}
@@ -104,7 +104,7 @@
 	c := n.newCall(id, wait, route, r)
 	c.version = table.Version()
 	if reason := n.admit(c); reason != outcome.None {
-		return n.refuse(id, c.end, reason, c.fields)
+		return n.refuse(id, c, c.end, reason, c.fields)
 	}
 	reply := n.run(c, r.Gone)
 	n.ended(c, reply.Broken)
@@ -569,7 +569,7 @@
 func (n *Node) finish(c *call, reason outcome.Reason) ingress.Reply {
 	c.refused = c.refused || c.turned
 	if !c.doubtful {
-		return n.refuse(c.id, c.end, reason, c.fields)
+		return n.refuse(c.id, c, c.end, reason, c.fields)
 	}
 	n.figures.doubtful.Inc(1)
 	n.journal.Sample(time.Now(), event.RequestDoubtful, func() logrus.Fields {
@@ -587,7 +587,7 @@
 }
 
 // refuse answers a request that has not run and never will.
-func (n *Node) refuse(id string, end time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
+func (n *Node) refuse(id string, c *call, end time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
 	n.figures.refused.Inc(1)
 	now := time.Now()
 	n.journal.Sample(now, event.RequestRefused, func() logrus.Fields {
@@ -595,7 +595,7 @@
 		f["request"], f["reason"] = id, reason.String()
 		return f
 	})
-	wait := max(minReturn, time.Duration(returnPart*(0.5+0.5*rand.Float64())*float64(end.Sub(now))))
+	wait := n.returnAfter(now, c, end, reason)
 	head := n.dialect.AppendRequestID(nil, id)
 	head = append(head, "Retry-After: "...)
 	head = strconv.AppendFloat(head, wait.Seconds(), 'f', 3, 64)
@@ -603,6 +603,25 @@
 	return ingress.Reply{Status: fasthttp.StatusServiceUnavailable, Head: head}
 }
 
+// returnAfter returns when a refused client is asked to come back. For want of
+// places that is as soon as leaves time to meet the latency objective, spread
+// over that time, since the chance of a place is no better later. Other reasons
+// take time to pass.
+func (n *Node) returnAfter(now time.Time, c *call, end time.Time, reason outcome.Reason) time.Duration {
+	longest := time.Duration(returnPart * float64(end.Sub(now)))
+	if c != nil && noPlace(reason) {
+		n.mu.Lock()
+		e := n.latencies[c.key]
+		n.mu.Unlock()
+		if e != nil && e.Mean() > 0 {
+			if spare := c.route.Objective() - 3*e.Mean()/2 - now.Sub(c.start); spare > minReturn && spare < longest {
+				return max(minReturn, time.Duration((0.25+0.75*rand.Float64())*float64(spare)))
+			}
+		}
+	}
+	return max(minReturn, time.Duration((0.5+0.5*rand.Float64())*float64(longest)))
+}
+
 // fields describes a request in a log line.
 func (c *call) fields() logrus.Fields {
 	f := logrus.Fields{
