Reckon the time to come back from the client's deadline, for all routes

Cause: the time to come back went by the route's time-out, 0.8 s for reservations, though their clients wait 5 s; a refused one was asked to return after 0.13 to 0.26 s, when a service without servers is seldom back. Routes that are not repeatable had no latency estimate.

Change: pkg/refusal decides, from the client's own deadline, the objective and the mean latency, which is learned for all routes.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -21,6 +21,7 @@
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/quarantine"
+	"github.com/papayapath/papayapath/pkg/refusal"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/window"
 )
@@ -33,15 +34,9 @@
 	defaultWait = 30 * time.Second
 	// maxOffers bounds the nodes to which one request is offered.
 	maxOffers = 4
-	// returnPart is the part of the remaining time after which a refused
-	// client is asked to come back. Clients wait up to a third.
-	returnPart = 0.33
 	// minPatience is the shortest time after which an answer counts as overdue.
 	// Pauses of a process or its scheduling take up to some 10 ms.
 	minPatience = 50 * time.Millisecond
-	// minReturn is the shortest time after which a client is asked to come
-	// back. It covers the restart of a connection between nodes.
-	minReturn = 50 * time.Millisecond
 )
 
 // call is one request at the node where it arrived.
@@ -54,6 +49,7 @@
 	body     []byte
 	start    time.Time
 	end      time.Time // when the final answer is due
+	leaves   time.Time // when the client leaves, at the end or later
 	tried    []string
 	open     []uint64 // offers without a result
 	sends    int      // servers that the request may have reached
@@ -104,7 +100,7 @@
 	c := n.newCall(id, wait, route, r)
 	c.version = table.Version()
 	if reason := n.admit(c); reason != outcome.None {
-		return n.refuse(id, c, c.end, reason, c.fields)
+		return n.refuse(id, c, c.leaves, reason, c.fields)
 	}
 	reply := n.run(c, r.Gone)
 	n.ended(c, reply.Broken)
@@ -140,10 +136,12 @@
 }
 
 func (n *Node) newCall(id string, wait time.Duration, route *routing.Route, r *ingress.Request) *call {
+	leaves := r.Arrived.Add(wait)
 	if t := route.Timeout(); t > 0 && t < wait {
 		wait = t
 	}
 	c := &call{
+		leaves:  leaves,
 		id:      id,
 		route:   route,
 		body:    append([]byte(nil), r.Body...),
@@ -465,7 +463,7 @@
 	p.call.delay += a.Delay
 	p.call.refused = p.call.refused || a.Refused
 	p.call.turned = p.call.turned || a.Outcome == outcome.NotRun && !a.Sent && noPlace(a.Reason)
-	if a.Outcome == outcome.Complete && p.call.route.Repeatable() {
+	if a.Outcome == outcome.Complete {
 		n.learn(p.call.key, now.Sub(p.sentAt))
 	}
 	if a.HasSpread {
@@ -569,7 +567,7 @@
 func (n *Node) finish(c *call, reason outcome.Reason) ingress.Reply {
 	c.refused = c.refused || c.turned
 	if !c.doubtful {
-		return n.refuse(c.id, c, c.end, reason, c.fields)
+		return n.refuse(c.id, c, c.leaves, reason, c.fields)
 	}
 	n.figures.doubtful.Inc(1)
 	n.journal.Sample(time.Now(), event.RequestDoubtful, func() logrus.Fields {
@@ -587,7 +585,7 @@
 }
 
 // refuse answers a request that has not run and never will.
-func (n *Node) refuse(id string, c *call, end time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
+func (n *Node) refuse(id string, c *call, leaves time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
 	n.figures.refused.Inc(1)
 	now := time.Now()
 	n.journal.Sample(now, event.RequestRefused, func() logrus.Fields {
@@ -595,7 +593,7 @@
 		f["request"], f["reason"] = id, reason.String()
 		return f
 	})
-	wait := n.returnAfter(now, c, end, reason)
+	wait := n.returnAfter(now, c, leaves, reason)
 	head := n.dialect.AppendRequestID(nil, id)
 	head = append(head, "Retry-After: "...)
 	head = strconv.AppendFloat(head, wait.Seconds(), 'f', 3, 64)
@@ -603,23 +601,19 @@
 	return ingress.Reply{Status: fasthttp.StatusServiceUnavailable, Head: head}
 }
 
-// returnAfter returns when a refused client is asked to come back. For want of
-// places that is as soon as leaves time to meet the latency objective, spread
-// over that time, since the chance of a place is no better later. Other reasons
-// take time to pass.
-func (n *Node) returnAfter(now time.Time, c *call, end time.Time, reason outcome.Reason) time.Duration {
-	longest := time.Duration(returnPart * float64(end.Sub(now)))
-	if c != nil && noPlace(reason) {
+// returnAfter returns when the client of a refused request, which may have no
+// route, is asked to come back.
+func (n *Node) returnAfter(now time.Time, c *call, leaves time.Time, reason outcome.Reason) time.Duration {
+	r := refusal.Refusal{Left: leaves.Sub(now), NoPlace: noPlace(reason)}
+	if c != nil {
+		r.Objective = c.route.Objective() - now.Sub(c.start)
 		n.mu.Lock()
-		e := n.latencies[c.key]
-		n.mu.Unlock()
-		if e != nil && e.Mean() > 0 {
-			if spare := c.route.Objective() - 3*e.Mean()/2 - now.Sub(c.start); spare > minReturn && spare < longest {
-				return max(minReturn, time.Duration((0.25+0.75*rand.Float64())*float64(spare)))
-			}
+		if e := n.latencies[c.key]; e != nil {
+			r.Latency = e.Mean()
 		}
+		n.mu.Unlock()
 	}
-	return max(minReturn, time.Duration((0.5+0.5*rand.Float64())*float64(longest)))
+	return r.ReturnAfter(rand.Float64())
 }
 
 // fields describes a request in a log line.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -87,7 +87,7 @@
 	confirming bool
 	runner     *runner.Runner[*run]
 	graph      *callgraph.Graph
-	latencies  map[message.Route]*latency.Estimate // of repeatable routes
+	latencies  map[message.Route]*latency.Estimate
 	windows    map[message.Route]*window.Window
 	servers    map[string]*server // by address of the node
 	members    map[string][]string
--- /dev/null
+++ b/pkg/refusal/refusal.go
@@ -0,0 +1,43 @@
+package refusal
+
+import "time"
+
+const (
+	// part is the part of the time left after which a client comes back at the
+	// latest. Clients wait up to a third.
+	part = 0.33
+	// early and half are the parts of the time to come back from which on it is
+	// spread: for want of places and for other reasons.
+	early = 0.25
+	half  = 0.5
+	// shortest covers the restart of a connection between nodes.
+	shortest = 50 * time.Millisecond
+	// latencies is the time that an answer takes at most as a rule, in mean
+	// latencies of the route.
+	latencies = 1.5
+)
+
+// Refusal is a request that has not run and never will.
+type Refusal struct {
+	// Left is the time for which the client still waits.
+	Left time.Duration
+	// Objective is the time until the latency objective has passed, or less
+	// than zero.
+	Objective time.Duration
+	// Latency is the mean latency of the route, or 0 if it is unknown.
+	Latency time.Duration
+	// NoPlace says that servers had no place in time, which is as likely to be
+	// over soon as late. Other reasons take time to pass.
+	NoPlace bool
+}
+
+// ReturnAfter returns after what time the client is asked to come back. random
+// is in [0, 1) and spreads the returns of clients that are refused together.
+func (r Refusal) ReturnAfter(random float64) time.Duration {
+	longest, from := part*float64(r.Left), half
+	spare := float64(r.Objective) - latencies*float64(r.Latency)
+	if r.NoPlace && r.Latency > 0 && spare > float64(shortest) && spare < longest {
+		longest, from = spare, early
+	}
+	return max(shortest, time.Duration((from+(1-from)*random)*longest))
+}
--- /dev/null
+++ b/pkg/refusal/refusal_test.go
@@ -0,0 +1,50 @@
+package refusal_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/pkg/refusal"
+)
+
+// browse is a request with a deadline of 5 s and an objective of 1.2 s that was
+// refused for want of a place as soon as it arrived.
+var browse = refusal.Refusal{
+	Left: 5 * time.Second, Objective: 1200 * time.Millisecond, Latency: 400 * time.Millisecond, NoPlace: true,
+}
+
+// Guards against clients that return, though a place was free before, when
+// their answer can only be late.
+func TestReturnLeavesTimeForTheObjective(t *testing.T) {
+	for _, random := range []float64{0, 0.5, 0.999} {
+		wait := browse.ReturnAfter(random)
+		require.GreaterOrEqual(t, wait, 100*time.Millisecond)
+		require.LessOrEqual(t, wait+browse.Latency, browse.Objective)
+	}
+}
+
+// Guards against clients that return together.
+func TestReturnsAreSpread(t *testing.T) {
+	for _, r := range []refusal.Refusal{browse, {Left: 5 * time.Second}, {Left: 600 * time.Millisecond}} {
+		require.Greater(t, r.ReturnAfter(0.999), 3*r.ReturnAfter(0)/2)
+	}
+}
+
+// Guards against a time to return beyond the third of the time left that
+// clients wait, and against an early return to a service without servers.
+func TestReturnWhenTheReasonTakesTime(t *testing.T) {
+	for name, r := range map[string]refusal.Refusal{
+		"no server":             {Left: 5 * time.Second, Objective: 1200 * time.Millisecond, Latency: 400 * time.Millisecond},
+		"objective has passed":  {Left: 5 * time.Second, Objective: -time.Second, Latency: 400 * time.Millisecond, NoPlace: true},
+		"latency is unknown":    {Left: 5 * time.Second, Objective: 1200 * time.Millisecond, NoPlace: true},
+		"objective is too near": {Left: 5 * time.Second, Objective: 600 * time.Millisecond, Latency: 400 * time.Millisecond, NoPlace: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.Greater(t, r.ReturnAfter(0), 800*time.Millisecond)
+			require.Less(t, r.ReturnAfter(0.999), r.Left/3)
+		})
+	}
+	require.Equal(t, 50*time.Millisecond, refusal.Refusal{}.ReturnAfter(0.5))
+}
