--- /dev/null
+++ b/internal/lab/optimum/optimum_test.go
@@ -0,0 +1,77 @@
+package optimum_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/internal/document"
+	"github.com/papayapath/papayapath/internal/lab/optimum"
+)
+
+// chain has a bottleneck two calls deep: 100 slots of calendars, of which a
+// browse takes 0.16 s and a check 0.04 s.
+func chain() *optimum.Scenario {
+	return &optimum.Scenario{
+		Services: []optimum.Service{{Name: "catalogue", Servers: 4, Slots: 200}, {Name: "calendars", Servers: 2, Slots: 50}},
+		Classes: []optimum.Class{
+			{Name: "browse", Service: "catalogue", Work: 100, Rate: 500, Worth: 1, Calls: []optimum.Call{{Class: "spec", Times: 2}}},
+			{Name: "spec", Service: "catalogue", Work: 10, Calls: []optimum.Call{{Class: "read", Times: 4}}},
+			{Name: "read", Service: "calendars", Work: 20},
+			{Name: "check", Service: "calendars", Work: 40, Rate: 500, Worth: 2},
+		},
+	}
+}
+
+// Guards against an optimum that does not fill the bottleneck in the order of
+// worth for its slots, or that counts the calls of a class once.
+func TestBottleneckGoesToTheWorthiest(t *testing.T) {
+	o, err := optimum.Solve(chain(), 1)
+	require.NoError(t, err)
+	require.InDelta(t, 500, o.Served("check"), 1e-6)
+	require.InDelta(t, (100-500*0.04)/0.16, o.Served("browse"), 1e-6)
+	require.InDelta(t, 1, o.Use("calendars"), 1e-9)
+	o, err = optimum.Solve(chain(), 6)
+	require.NoError(t, err)
+	require.InDelta(t, 2500, o.Served("check"), 1e-6)
+	require.Zero(t, o.Served("browse"))
+	require.InDelta(t, 5000.0/(6*500+6*1000), o.Worth(), 1e-9)
+}
+
+// Guards against losses where there is room for all.
+func TestAllIsServedBelowTheLimit(t *testing.T) {
+	o, err := optimum.Solve(chain(), 0.5)
+	require.NoError(t, err)
+	require.InDelta(t, 1, o.Worth(), 1e-9)
+	s := chain()
+	s.Services[1].Speed = 2
+	o, err = optimum.Solve(s, 1)
+	require.NoError(t, err)
+	require.InDelta(t, 1, o.Worth(), 1e-9)
+}
+
+// Guards against a scenario file with names that lead nowhere, or round.
+func TestBadScenariosAreRefused(t *testing.T) {
+	for reason, classes := range map[string]string{
+		"unknown service": `{"name":"a","service":"x","work":1}`,
+		"unknown class":   `{"name":"a","service":"s","work":1,"calls":[{"class":"x","times":1}]}`,
+		"lead back":       `{"name":"a","service":"s","work":1,"calls":[{"class":"a","times":1}]}`,
+		"work":            `{"name":"a","service":"s"}`,
+	} {
+		_, err := document.Decode[optimum.Scenario]("test", []byte(`{"services":[{"name":"s","servers":1,"slots":1}],"classes":[`+classes+`]}`))
+		require.Error(t, err, reason)
+		require.Contains(t, err.Error(), reason)
+	}
+}
+
+// Guards against a table that misses a class or a service.
+func TestTable(t *testing.T) {
+	o, err := optimum.Solve(chain(), 1)
+	require.NoError(t, err)
+	var b strings.Builder
+	require.NoError(t, o.Table(&b))
+	for _, name := range []string{"browse", "check", "catalogue", "calendars", "worth"} {
+		require.Contains(t, b.String(), name)
+	}
+}
