Let calls wait for a server after a start; keep retries for importance

New requests were refused at once and came back after their objective. Change: a call waits up to a second for a server, a new request up to an eighth of its objective and 100 ms for a configuration; the time to come back leaves time for the objective whatever the reason.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -34,6 +34,18 @@
 	defaultWait = 30 * time.Second
 	// maxOffers bounds the nodes to which one request is offered.
 	maxOffers = 4
+	// promptPart is the divisor of the latency objective that gives how long a
+	// new request is held at most before it is refused.
+	promptPart = 8
+	// callPatience is how long a call waits for a server of its service. Nodes
+	// that start together find each other within it.
+	callPatience = time.Second
+	// tableChecks is how often a request looks for a configuration before it is
+	// refused: 100 ms, several times what the platform log takes to answer.
+	tableChecks = 5
+	// serverCheck is how often a request without a server or a
+	// configuration looks for one.
+	serverCheck = 20 * time.Millisecond
 	// minPatience is the shortest time after which an answer counts as overdue.
 	// Pauses of a process or its scheduling take up to some 10 ms.
 	minPatience = 50 * time.Millisecond
@@ -86,7 +98,7 @@
 	if wait == 0 {
 		wait = defaultWait
 	}
-	table := n.table.Load()
+	table := n.awaitTable()
 	if table == nil {
 		return n.refuse(id, nil, r.Arrived.Add(wait), outcome.Unavailable, func() logrus.Fields {
 			return logrus.Fields{"detail": "no configuration"}
@@ -125,6 +137,18 @@
 	}
 }
 
+// awaitTable returns the configuration. A node that has just started waits for
+// it briefly.
+func (n *Node) awaitTable() *routing.Table {
+	for range tableChecks {
+		if t := n.table.Load(); t != nil {
+			return t
+		}
+		time.Sleep(serverCheck)
+	}
+	return n.table.Load()
+}
+
 // lookup finds the route of a request.
 func lookup(t *routing.Table, h *fasthttp.RequestHeader) *routing.Route {
 	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
@@ -191,6 +215,7 @@
 	if parent := n.parent(c.id); parent != nil {
 		c.offer.Inner = true
 		c.parent = parent
+		n.allowance(c.service).Request(now)
 		c.offer.Priority = parent.offer.Priority
 		n.graph.Call(parent.offer.Route, c.key)
 		n.services[c.key] = c.service
@@ -245,7 +270,7 @@
 
 // run offers a request to servers until it has an answer.
 func (n *Node) run(c *call, gone <-chan struct{}) ingress.Reply {
-	if reason := n.send(c); reason != outcome.None {
+	if reason := n.firstOffer(c, gone); reason != outcome.None {
 		return n.finish(c, reason)
 	}
 	patience := n.patience(c)
@@ -275,6 +300,36 @@
 	}
 }
 
+// firstOffer offers a request for the first time. If no server of its service is
+// known, as in the first moments after a start, it waits for one: briefly for a
+// new request, which can come back, and longer for a call of a run, whose work
+// would be lost.
+func (n *Node) firstOffer(c *call, gone <-chan struct{}) outcome.Reason {
+	patience := min(c.route.Objective()/promptPart, time.Until(c.end))
+	if c.offer.Inner {
+		patience = min(callPatience, time.Until(c.end))
+	}
+	until := time.Now().Add(patience)
+	reason := n.send(c)
+	for reason == outcome.Unavailable && time.Now().Before(until) {
+		timer := time.NewTimer(serverCheck)
+		select {
+		case <-gone:
+			timer.Stop()
+			return reason
+		case <-timer.C:
+		}
+		reason = n.send(c)
+	}
+	if waited := time.Since(c.start); waited > serverCheck {
+		n.mu.Lock()
+		c.delay += waited
+		c.refused = c.refused || c.offer.Inner && reason == outcome.Unavailable
+		n.mu.Unlock()
+	}
+	return reason
+}
+
 // next returns the time until a request is looked at again: when its answer is
 // overdue, or when its final answer is due.
 func (c *call) next(patience time.Duration) time.Duration {
@@ -551,9 +606,9 @@
 		}
 		costs = append(costs, spread...)
 	}
-	nodes := n.registry.Len()
+	nodes, level := n.registry.Len(), c.offer.Priority.Level()
 	for _, s := range costs {
-		if n.allowance(s.Service).Left(now, nodes) < float64(s.Calls) {
+		if !n.allowance(s.Service).Allows(now, nodes, level, float64(s.Calls)) {
 			return false
 		}
 	}
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -1,6 +1,10 @@
 package allowance
 
-import "time"
+import (
+	"time"
+
+	"github.com/papayapath/papayapath/pkg/importance"
+)
 
 const (
 	// buckets is the number of parts into which a window is divided.
@@ -42,19 +46,22 @@
 	return int(n % buckets)
 }
 
-// Request records a request of a client.
+// Request records a request of a client or a call of a server.
 func (a *Allowance) Request(now time.Time) { a.requests[a.advance(now)]++ }
 
-// Left returns how many retries the node may still cause now, given the number
-// of nodes that share the slack.
-func (a *Allowance) Left(now time.Time, nodes int) float64 {
+// Allows reports whether a request of some importance may cause so many
+// retries now, given the number of nodes that share the slack. Less important
+// requests leave a part of the budget to the others, so that these still find
+// some when all requests need a retry.
+func (a *Allowance) Allows(now time.Time, nodes int, level importance.Level, retries float64) bool {
 	a.advance(now)
-	requests, retries := 0.0, 0.0
+	requests, taken := 0.0, 0.0
 	for i := range buckets {
 		requests += a.requests[i]
-		retries += a.retries[i]
+		taken += a.retries[i]
 	}
-	return caution*(a.ratio*requests+a.slack/float64(max(1, nodes))) - retries
+	budget := caution * (a.ratio*requests + a.slack/float64(max(1, nodes)))
+	return taken+retries <= budget*float64(level+1)/float64(importance.Critical+1)
 }
 
 // Take records retries. They count even if the allowance did not suffice.
--- a/pkg/refusal/refusal.go
+++ b/pkg/refusal/refusal.go
@@ -12,6 +12,9 @@
 	half  = 0.5
 	// shortest covers the restart of a connection between nodes.
 	shortest = 50 * time.Millisecond
+	// unknown is the latency that is assumed if none is known, as a part of the
+	// objective.
+	unknown = 1.0 / 3
 	// latencies is the time that an answer takes at most as a rule, in mean
 	// latencies of the route.
 	latencies = 1.5
@@ -27,7 +30,7 @@
 	// Latency is the mean latency of the route, or 0 if it is unknown.
 	Latency time.Duration
 	// NoPlace says that servers had no place in time, which is as likely to be
-	// over soon as late. Other reasons take time to pass.
+	// over soon as late. Other reasons, such as a restart, take time to pass.
 	NoPlace bool
 }
 
@@ -35,9 +38,15 @@
 // is in [0, 1) and spreads the returns of clients that are refused together.
 func (r Refusal) ReturnAfter(random float64) time.Duration {
 	longest, from := part*float64(r.Left), half
-	spare := float64(r.Objective) - latencies*float64(r.Latency)
-	if r.NoPlace && r.Latency > 0 && spare > float64(shortest) && spare < longest {
-		longest, from = spare, early
+	latency := float64(r.Latency)
+	if r.Latency == 0 {
+		latency = unknown * float64(r.Objective)
+	}
+	if spare := float64(r.Objective) - latencies*latency; spare > float64(shortest) && spare < longest {
+		longest = spare
+	}
+	if r.NoPlace {
+		from = early
 	}
 	return max(shortest, time.Duration((from+(1-from)*random)*longest))
 }
