Split the entry of requests by concern

It keeps the arrival and admission of a request; call.go describes a request, offer.go sends it to servers and takes the results, refuse.go ends it without a server's answer. No change of behaviour.

--- /dev/null
+++ b/internal/sidecar/refuse.go
@@ -0,0 +1,68 @@
+package sidecar
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/refusal"
+)
+
+// finish ends a request without a server's answer.
+func (n *Node) finish(c *call, reason outcome.Reason) ingress.Reply {
+	c.refused = c.refused || c.shed
+	if !c.doubtful {
+		return n.refuse(c.id, c, c.leaves, reason, c.fields)
+	}
+	n.figures.doubtful.Inc(1)
+	n.journal.Sample(time.Now(), event.RequestDoubtful, func() logrus.Fields {
+		f := c.fields()
+		f["reason"] = reason.String()
+		return f
+	})
+	return ingress.Reply{Status: fasthttp.StatusBadGateway, Head: n.dialect.AppendRequestID(nil, c.id)}
+}
+
+// noPlace reports whether a node refused a request because its server had no
+// place for it in time.
+func noPlace(r outcome.Reason) bool {
+	return r == outcome.Overload || r == outcome.Preempted || r == outcome.Expired
+}
+
+// refuse answers a request that has not run and never will.
+func (n *Node) refuse(id string, c *call, leaves time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
+	n.figures.refused.Inc(1)
+	now := time.Now()
+	n.journal.Sample(now, event.RequestRefused, func() logrus.Fields {
+		f := fields()
+		f["request"], f["reason"] = id, reason.String()
+		return f
+	})
+	wait := n.returnAfter(now, c, leaves, reason)
+	head := n.dialect.AppendRequestID(nil, id)
+	head = append(head, "Retry-After: "...)
+	head = strconv.AppendFloat(head, wait.Seconds(), 'f', 3, 64)
+	head = append(head, "\r\n"...)
+	return ingress.Reply{Status: fasthttp.StatusServiceUnavailable, Head: head}
+}
+
+// returnAfter returns when the client of a refused request, which may have no
+// route, is asked to come back.
+func (n *Node) returnAfter(now time.Time, c *call, leaves time.Time, reason outcome.Reason) time.Duration {
+	r := refusal.Refusal{Left: leaves.Sub(now), NoPlace: noPlace(reason)}
+	if c != nil {
+		r.Objective = c.route.Objective() - now.Sub(c.start)
+		n.mu.Lock()
+		if e := n.latencies[c.key]; e != nil {
+			r.Latency = e.Mean()
+		}
+		n.mu.Unlock()
+	}
+	return r.ReturnAfter(rand.Float64())
+}
