--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -291,6 +291,13 @@
 	return best
 }
 
+// hasRoom reports whether the server beside a node, or "" for none, has a free
+// place as far as this node knows.
+func (n *Node) hasRoom(address string) bool {
+	s := n.servers[address]
+	return s != nil && s.load+s.since < s.limit
+}
+
 // typical returns the mean run time that the servers beside some nodes told.
 func (n *Node) typical(nodes []string) time.Duration {
 	sum, told := time.Duration(0), 0
