Tell windows nothing of requests that ended before their delay was known

Found by reading: a request that reached its time-out counted as one that did not wait, since no answer told its delay, and would open the window of its route under the heaviest overload. The pause of a process before the first offer counted as waiting for a server. Requests that are refused without a configuration now go the way of all others.

TestLeaveTellsNothing guards the window's part.

--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -42,6 +42,7 @@
 	delay    time.Duration  // waited for places at servers, with all calls
 	shed     bool           // a node had no place for it
 	refused  bool           // it, or one of its calls, ended for want of a place
+	untold   bool           // it ended before the delay was known
 	version  uint64         // of the configuration
 	results  chan result
 }
@@ -102,6 +103,9 @@
 
 // fields describes a request in a log line.
 func (c *call) fields() logrus.Fields {
+	if c.route == nil {
+		return logrus.Fields{"request": c.id, "detail": "no configuration"}
+	}
 	f := logrus.Fields{
 		"request": c.id, "route": c.route.Name(), "service": c.service, "version": c.version,
 		"priority": c.offer.Priority, "inner": c.offer.Inner,
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -44,9 +44,7 @@
 	}
 	table := n.awaitTable()
 	if table == nil {
-		return n.refuse(id, nil, r.Arrived.Add(wait), outcome.Unavailable, func() logrus.Fields {
-			return logrus.Fields{"detail": "no configuration"}
-		})
+		return n.refuse(&call{id: id, start: r.Arrived, leaves: r.Arrived.Add(wait)}, outcome.Unavailable)
 	}
 	route := lookup(table, r.Header)
 	if route == nil {
@@ -56,16 +54,16 @@
 	c := n.newCall(id, wait, route, r)
 	c.version = table.Version()
 	if reason := n.admit(c); reason != outcome.None {
-		return n.refuse(id, c, c.leaves, reason, c.fields)
+		return n.refuse(c, reason)
 	}
 	reply := n.run(c, r.Gone)
-	n.ended(c, reply.Broken)
+	n.ended(c)
 	return reply
 }
 
 // ended passes the delay of a request on: to the run that made it, or to the
-// window of its route, unless it was abandoned before it could tell.
-func (n *Node) ended(c *call, abandoned bool) {
+// window of its route, unless it ended before its delay was known.
+func (n *Node) ended(c *call) {
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -74,7 +72,7 @@
 		c.parent.delay += c.delay
 		c.parent.refused = c.parent.refused || c.refused
 	case c.window == nil:
-	case abandoned:
+	case c.untold:
 		c.window.Leave()
 	default:
 		c.window.End(now, window.Sample{Start: c.start, Delay: c.delay, Refused: c.refused})
@@ -194,6 +192,7 @@
 			}
 		case <-gone:
 			n.abandonAll(c, false)
+			c.untold = true
 			n.figures.abandoned.Inc(1)
 			n.journal.Sample(time.Now(), event.RequestAbandoned, func() logrus.Fields { return c.fields() })
 			return ingress.Reply{Broken: true}
@@ -217,24 +216,25 @@
 	if c.offer.Inner {
 		patience = min(callPatience, time.Until(c.end))
 	}
-	until := time.Now().Add(patience)
 	reason := n.send(c)
-	for reason == outcome.Unavailable && time.Now().Before(until) {
-		timer := time.NewTimer(serverCheck)
+	if reason != outcome.Unavailable {
+		return reason
+	}
+	start := time.Now()
+	ticker := time.NewTicker(serverCheck)
+	defer ticker.Stop()
+	for reason == outcome.Unavailable && time.Since(start) < patience {
 		select {
 		case <-gone:
-			timer.Stop()
 			return reason
-		case <-timer.C:
+		case <-ticker.C:
+			reason = n.send(c)
 		}
-		reason = n.send(c)
-	}
-	if waited := time.Since(c.start); waited > serverCheck {
-		n.mu.Lock()
-		c.delay += waited
-		c.refused = c.refused || c.offer.Inner && reason == outcome.Unavailable
-		n.mu.Unlock()
 	}
+	n.mu.Lock()
+	c.delay += time.Since(start)
+	c.refused = c.refused || c.offer.Inner && reason == outcome.Unavailable
+	n.mu.Unlock()
 	return reason
 }
 
@@ -285,6 +285,7 @@
 // expire ends a request whose time is up.
 func (n *Node) expire(c *call) ingress.Reply {
 	n.abandonAll(c, true)
+	c.untold = true
 	n.figures.expired.Inc(1)
 	n.journal.Sample(time.Now(), event.RequestExpired, func() logrus.Fields { return c.fields() })
 	return ingress.Reply{Status: fasthttp.StatusGatewayTimeout, Head: n.dialect.AppendRequestID(nil, c.id)}
--- a/internal/sidecar/refuse.go
+++ b/internal/sidecar/refuse.go
@@ -18,7 +18,7 @@
 func (n *Node) finish(c *call, reason outcome.Reason) ingress.Reply {
 	c.refused = c.refused || c.shed
 	if !c.doubtful {
-		return n.refuse(c.id, c, c.leaves, reason, c.fields)
+		return n.refuse(c, reason)
 	}
 	n.figures.doubtful.Inc(1)
 	n.journal.Sample(time.Now(), event.RequestDoubtful, func() logrus.Fields {
@@ -36,27 +36,26 @@
 }
 
 // refuse answers a request that has not run and never will.
-func (n *Node) refuse(id string, c *call, leaves time.Time, reason outcome.Reason, fields func() logrus.Fields) ingress.Reply {
+func (n *Node) refuse(c *call, reason outcome.Reason) ingress.Reply {
 	n.figures.refused.Inc(1)
 	now := time.Now()
 	n.journal.Sample(now, event.RequestRefused, func() logrus.Fields {
-		f := fields()
-		f["request"], f["reason"] = id, reason.String()
+		f := c.fields()
+		f["reason"] = reason.String()
 		return f
 	})
-	wait := n.returnAfter(now, c, leaves, reason)
-	head := n.dialect.AppendRequestID(nil, id)
+	head := n.dialect.AppendRequestID(nil, c.id)
 	head = append(head, "Retry-After: "...)
-	head = strconv.AppendFloat(head, wait.Seconds(), 'f', 3, 64)
+	head = strconv.AppendFloat(head, n.returnAfter(now, c, reason).Seconds(), 'f', 3, 64)
 	head = append(head, "\r\n"...)
 	return ingress.Reply{Status: fasthttp.StatusServiceUnavailable, Head: head}
 }
 
-// returnAfter returns when the client of a refused request, which may have no
-// route, is asked to come back.
-func (n *Node) returnAfter(now time.Time, c *call, leaves time.Time, reason outcome.Reason) time.Duration {
-	r := refusal.Refusal{Left: leaves.Sub(now), NoPlace: noPlace(reason)}
-	if c != nil {
+// returnAfter returns when the client of a refused request is asked to come
+// back. The request has no route if there is no configuration.
+func (n *Node) returnAfter(now time.Time, c *call, reason outcome.Reason) time.Duration {
+	r := refusal.Refusal{Left: c.leaves.Sub(now), NoPlace: noPlace(reason)}
+	if c.route != nil {
 		r.Objective = c.route.Objective() - now.Sub(c.start)
 		n.mu.Lock()
 		if e := n.latencies[c.key]; e != nil {
--- a/pkg/window/window_test.go
+++ b/pkg/window/window_test.go
@@ -155,3 +155,25 @@
 	admitted(start.Add(8*time.Second), false)
 	require.Equal(t, 400, admitted(start.Add(12*time.Second), false))
 }
+
+// Guards against requests that ended by their time-out or by a client that left
+// counting as requests that did not wait, which would open a window under the
+// heaviest overload.
+func TestLeaveTellsNothing(t *testing.T) {
+	w := window.New(objective)
+	for i := range 40 {
+		now := start.Add(time.Duration(i) * base)
+		require.True(t, w.Admit(now))
+		w.End(now.Add(base), window.Sample{Start: now, Delay: 2 * target})
+	}
+	size, delay := w.Size(), w.Delay()
+	require.NotZero(t, size)
+	for range 100 {
+		if w.Admit(start) {
+			w.Leave()
+		}
+	}
+	require.Equal(t, size, w.Size())
+	require.Equal(t, delay, w.Delay())
+	require.Zero(t, w.Open())
+}
