Let the first health check wait for the configuration

The check counted as failed, and the server stayed out until its next heartbeat 1.5 s later.

Change: the check waits for the path, until just before the next heartbeat.

TestHeartbeatBeforeTheConfiguration fails without it.

--- a/internal/sidecar/server.go
+++ b/internal/sidecar/server.go
@@ -12,8 +12,13 @@
 	"github.com/papayapath/papayapath/pkg/presence"
 )
 
-// healthTimeout bounds a health check. It waits for a slot like a request.
-const healthTimeout = time.Second
+const (
+	// healthTimeout bounds a health check. It waits for a slot like a request.
+	healthTimeout = time.Second
+	// pathChecks is how often the path of the health check is looked for: over
+	// 1.4 s, since the next heartbeat comes after 1.5 s.
+	pathChecks = 70
+)
 
 // control serves the heartbeats of the own server.
 func (n *Node) control(ctx *fasthttp.RequestCtx) {
@@ -77,7 +82,7 @@
 func (n *Node) confirm() {
 	var id string
 	healthy := false
-	path := n.healthPath()
+	path := n.awaitHealthPath()
 	if path != "" {
 		err := upstream.Health(n.ctx, n.env.Backend.String(), path, healthTimeout, func(h *fasthttp.ResponseHeader) {
 			id, healthy = n.dialect.Instance(h), h.StatusCode() == fasthttp.StatusOK
@@ -97,6 +102,25 @@
 	n.reply(replies...)
 }
 
+// awaitHealthPath returns the path of the own server's health check. A node
+// that has just started may hear of its server before it has a configuration;
+// without the path the server would stay out until its next heartbeats.
+func (n *Node) awaitHealthPath() string {
+	ticker := time.NewTicker(serverCheck)
+	defer ticker.Stop()
+	for range pathChecks {
+		if path := n.healthPath(); path != "" {
+			return path
+		}
+		select {
+		case <-n.ctx.Done():
+			return ""
+		case <-ticker.C:
+		}
+	}
+	return n.healthPath()
+}
+
 // healthPath returns the path of the own server's health check, or "" while no
 // configuration tells it.
 func (n *Node) healthPath() string {
