Let slow handshakes between nodes go on

Cause: a handshake was given up after 500 ms, and dropped when the other node was taken for failed.

Change: callers still wait 500 ms for a connection, but the handshake goes on for up to 5 s for later ones, and a drop leaves it alone.

--- a/internal/link/error.go
+++ b/internal/link/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/papayapath/papayapath/pkg/instance"
 )
@@ -34,3 +35,10 @@
 
 // Unwrap returns the cause.
 func (e *OpenError) Unwrap() error { return e.cause }
+
+// HandshakeError reports a connection that was not open in time. Its handshake
+// goes on.
+type HandshakeError struct{ waited time.Duration }
+
+// Error tells how long the connection was waited for.
+func (e *HandshakeError) Error() string { return fmt.Sprintf("no connection after %s", e.waited) }
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -24,9 +24,13 @@
 	// idleTimeout closes unused connections, so that a node holds none to the
 	// nodes that it called or probed long ago.
 	idleTimeout = 30 * time.Second
-	// dialTimeout bounds a handshake. It is well under a call's deadline, so
-	// that another server can be tried.
+	// dialTimeout bounds the wait for a connection that is being opened. It is
+	// well under a call's deadline, so that another server can be tried.
 	dialTimeout = 500 * time.Millisecond
+	// handshakeTimeout bounds a handshake, which goes on for later callers when
+	// the first ones have given up. On a busy machine it can outlast their
+	// patience, and handshakes that are given up and begun again keep it busy.
+	handshakeTimeout = 5 * time.Second
 	// maxStreams bounds the calls that one node may have open on another.
 	maxStreams = 4096
 	// maxDatagram is the largest control message sent as a datagram; 1200
@@ -78,7 +82,6 @@
 	conn        *quic.Conn
 	err         error
 	incarnation uint64 // of the node at the other end; 0 until it has sent something
-	dropped     bool   // to be closed once it is open
 }
 
 // Listen opens the socket of a link and returns it with its address, in which
@@ -143,21 +146,18 @@
 }
 
 // Drop closes the connection to a node that is known to have failed. The
-// connection to a newer incarnation at its address stays open.
+// connection to a newer incarnation at its address stays open, and so does one
+// that is being opened: a node that has failed does not end the handshake.
 func (l *Link) Drop(id instance.ID) {
 	l.mu.Lock()
 	c := l.conns[id.Address()]
-	if c == nil || c.incarnation != 0 && c.incarnation != id.Incarnation() {
+	if c == nil || c.conn == nil || c.incarnation != 0 && c.incarnation != id.Incarnation() {
 		l.mu.Unlock()
 		return
 	}
 	delete(l.conns, id.Address())
-	c.dropped = true
-	conn := c.conn
 	l.mu.Unlock()
-	if conn != nil {
-		_ = conn.CloseWithError(0, "dropped")
-	}
+	_ = c.conn.CloseWithError(0, "dropped")
 }
 
 // note records which incarnation is at the other end of conn.
@@ -200,7 +200,7 @@
 }
 
 // connect returns the open connection to address, or dials one. Callers that
-// come at the same time share one handshake.
+// come during a handshake share it. They wait for dialTimeout at most.
 func (l *Link) connect(ctx context.Context, address netip.AddrPort) (*quic.Conn, error) {
 	l.mu.Lock()
 	c := l.conns[address]
@@ -214,6 +214,8 @@
 		l.tasks.Go(func() { l.dial(c, address) })
 	}
 	l.mu.Unlock()
+	ctx, cancel := context.WithTimeoutCause(ctx, dialTimeout, &HandshakeError{waited: dialTimeout})
+	defer cancel()
 	select {
 	case <-c.ready:
 		return c.conn, c.err
@@ -223,7 +225,7 @@
 }
 
 func (l *Link) dial(c *connection, address netip.AddrPort) {
-	ctx, cancel := context.WithTimeout(l.ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(l.ctx, handshakeTimeout)
 	defer cancel()
 	conn, err := l.transport.Dial(ctx, net.UDPAddrFromAddrPort(address), l.tls, l.config)
 	l.mu.Lock()
@@ -231,17 +233,11 @@
 	if err != nil && l.conns[address] == c {
 		delete(l.conns, address)
 	}
-	dropped := c.dropped
 	l.mu.Unlock()
 	close(c.ready)
-	if err != nil {
-		return
-	}
-	if dropped {
-		_ = conn.CloseWithError(0, "dropped")
-		return
+	if err == nil {
+		l.serve(conn, address)
 	}
-	l.serve(conn, address)
 }
 
 // serve handles what the node at address sends on conn until conn ends.
