Move the choice of server into pkg/roster

Cause: the choice was part of internal/sidecar, so it could not be tested or put under virtual time without sockets. Tests of it found two faults: a server that had told nothing yet counted as the quickest and got more requests than it can run, and a slow server was measured against a mean with its own run time in it.

Change: pkg/roster holds what nodes told of their servers and chooses. Unknown servers count as typical, and typical is the mean of the other servers.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -263,10 +263,10 @@
 func (n *Node) hedge(c *call) {
 	now := time.Now()
 	n.mu.Lock()
-	allowed := !n.stopping && c.offers == 1 && len(c.open) == 1 && n.hasRoom(n.choose(now, c.service, c.tried)) && n.spend(now, c, false)
+	allowed := !n.stopping && c.offers == 1 && len(c.open) == 1 && n.roster.HasRoom(n.choose(now, c.service, c.tried)) && n.spend(now, c, false)
 	if allowed {
 		if p := n.pending[c.open[0]]; p != nil {
-			n.serverAt(p.node).slow(now, now.Sub(p.sentAt))
+			n.roster.Late(now, p.node, now.Sub(p.sentAt))
 		}
 		n.figures.retries.Inc(1)
 	}
--- a/internal/sidecar/members.go
+++ b/internal/sidecar/members.go
@@ -78,8 +78,7 @@
 func (n *Node) Waits(l *peer.Link) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := n.servers[l.Address()]
-	return s != nil && s.open > 0
+	return n.roster.Open(l.Address()) > 0
 }
 
 // Unreachable removes a node that has been gone for long.
@@ -90,7 +89,7 @@
 	}
 	n.mu.Lock()
 	n.registry.Drop(now, address)
-	delete(n.servers, address)
+	n.roster.Forget(address)
 	n.mu.Unlock()
 	n.mesh.Drop(address)
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"github.com/papayapath/papayapath/pkg/presence"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/registry"
+	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/runner"
 	"github.com/papayapath/papayapath/pkg/window"
@@ -89,9 +91,8 @@
 	graph      *callgraph.Graph
 	latencies  map[message.Route]*latency.Estimate
 	windows    map[message.Route]*window.Window
-	servers    map[string]*server // by address of the node
-	members    map[string][]string
-	memberedAt uint64 // changes of the registry at which members was derived
+	roster     *roster.Roster
+	rostered   uint64 // changes of the registry that the roster holds
 	spreads    map[message.Route][]frame.Share
 	services   map[message.Route]string // of the calls that the own server makes
 	allowances map[string]*allowance.Allowance
@@ -121,7 +122,7 @@
 		graph:      callgraph.New(),
 		latencies:  make(map[message.Route]*latency.Estimate),
 		windows:    make(map[message.Route]*window.Window),
-		servers:    make(map[string]*server),
+		roster:     roster.New(),
 		spreads:    make(map[message.Route][]frame.Share),
 		services:   make(map[message.Route]string),
 		quarantine: quarantine.New(quarantine.WithoutIsolation()),
@@ -169,148 +170,35 @@
 	})
 }
 
-// server is what this node knows of another node's server as a target.
-type server struct {
-	address string
-	load    int           // requests that run or wait there, as last told
-	limit   int           // requests that it runs at once, as last told
-	time    time.Duration // that a request takes there, as last told
-	since   int           // offers of this node since then
-	open    int           // offers of this node without an answer
-	told    time.Time
-}
-
-// cost estimates how long a request would take at the server: its run time,
-// divided by the part of the capacity that is free. What was told loses its
-// force with age, so that a server which was full or slow gets requests again
-// that tell how it is now: its load falls to nothing and its run time to
-// typical, that of the other servers.
-func (s *server) cost(now time.Time, slots int, home bool, typical time.Duration) time.Duration {
-	limit := s.limit
-	if limit == 0 {
-		limit = max(1, slots)
-	}
-	age := now.Sub(s.told)
-	load := s.load
-	run := max(s.time, shortest)
-	if run > typical {
-		run = typical + time.Duration(force(age, fresh, forgiven)*float64(run-typical))
-	}
-	use := max(force(age, fresh, stale)*float64(load)+float64(s.since), float64(s.open)) / float64(limit)
-	free := 1 - use
-	if free < leastFree {
-		// Beyond the limit each further request waits for another one.
-		free = leastFree / (1 + (leastFree-free)/leastFree)
-	}
-	if !home {
-		run += run/awayPart + awayTime
-	}
-	return time.Duration(float64(run) / free)
-}
-
-// force returns the part of what was told that still counts at an age: all
-// until from, nothing after to.
-func force(age, from, to time.Duration) float64 {
-	return max(0, min(1, 1-float64(age-from)/float64(to-from)))
-}
-
-// slow records that a request got no answer from the server for a time.
-func (s *server) slow(now time.Time, waited time.Duration) {
-	if waited > s.time {
-		s.time = waited
-	}
-	s.told = now
-}
-
-const (
-	// fresh is the age up to which a server's load is taken as told.
-	fresh = 200 * time.Millisecond
-	// stale is the age from which a server's load says nothing.
-	stale = 2 * time.Second
-	// forgiven is the age from which a slow server counts like the others. It
-	// is longer than stale because finding out costs a slow request.
-	forgiven = 8 * time.Second
-	// leastFree is the part of the capacity that counts as free at least.
-	leastFree = 0.1
-	// shortest is the run time assumed of a server that has told none.
-	shortest = time.Millisecond
-	// awayPart and awayTime make a server in another failure domain look
-	// slower, by a part of its run time and by a round trip, so that traffic
-	// stays at home while that costs the caller nothing.
-	awayPart = 8
-	awayTime = 3 * time.Millisecond
-)
-
-// serverAt returns the record of the server beside a node.
-func (n *Node) serverAt(address string) *server {
-	s := n.servers[address]
-	if s == nil {
-		s = &server{address: address}
-		n.servers[address] = s
-	}
-	return s
-}
-
-// candidates returns the nodes that take requests of a service.
-func (n *Node) candidates(service string) []string {
-	if c := n.registry.Changes(); c != n.memberedAt || n.members == nil {
-		n.members = make(map[string][]string)
-		for _, e := range n.registry.All() {
-			if e.Takes(e.Service) {
-				n.members[e.Service] = append(n.members[e.Service], e.Node)
-			}
-		}
-		n.memberedAt = c
-	}
-	return n.members[service]
-}
-
 // choose returns the node to which a request is offered next, or "".
 func (n *Node) choose(now time.Time, service string, tried []string) string {
-	candidates := n.candidates(service)
-	best, least := "", time.Duration(0)
-	typical := n.typical(candidates)
-	offset := 0
-	if len(candidates) > 0 {
-		offset = rand.IntN(len(candidates))
-	}
-	for i := range candidates {
-		address := candidates[(i+offset)%len(candidates)]
-		if contains(tried, address) || address != n.self.Node && n.mesh.Link(address) == nil {
-			continue
-		}
-		e, _ := n.registry.Get(address)
-		cost := n.serverAt(address).cost(now, e.Slots, e.Domain == n.self.Domain, typical)
-		if best == "" || cost < least {
-			best, least = address, cost
-		}
-	}
-	if best == "" {
+	n.refreshRoster()
+	node := n.roster.Choose(now, service, rand.Float64(), func(node string) bool {
+		return !slices.Contains(tried, node) && (node == n.self.Node || n.mesh.Link(node) != nil)
+	})
+	if node == "" {
 		return n.lastResort(service, tried)
 	}
-	return best
+	return node
 }
 
-// hasRoom reports whether the server beside a node, or "" for none, has a free
-// place as far as this node knows.
-func (n *Node) hasRoom(address string) bool {
-	s := n.servers[address]
-	return s != nil && s.load+s.since < s.limit
-}
-
-// typical returns the mean run time that the servers beside some nodes told.
-func (n *Node) typical(nodes []string) time.Duration {
-	sum, told := time.Duration(0), 0
-	for _, address := range nodes {
-		if s := n.servers[address]; s != nil && s.time > 0 {
-			sum += s.time
-			told++
-		}
+// refreshRoster brings the servers that can be chosen to what the registry
+// holds, if that has changed.
+func (n *Node) refreshRoster() {
+	changes := n.registry.Changes()
+	if changes == n.rostered {
+		return
 	}
-	if told == 0 {
-		return shortest
+	n.rostered = changes
+	var candidates []roster.Candidate
+	for _, e := range n.registry.All() {
+		if e.Takes(e.Service) {
+			candidates = append(candidates, roster.Candidate{
+				Node: e.Node, Service: e.Service, Slots: e.Slots, Home: e.Domain == n.self.Domain,
+			})
+		}
 	}
-	return sum / time.Duration(told)
+	n.roster.Replace(candidates)
 }
 
 // lastResort returns the own node if it is stopping and its server could run
@@ -318,17 +206,8 @@
 func (n *Node) lastResort(service string, tried []string) string {
 	e := n.self
 	e.Stopping = false
-	if e.Takes(service) && !contains(tried, e.Node) {
+	if e.Takes(service) && !slices.Contains(tried, e.Node) {
 		return e.Node
 	}
 	return ""
 }
-
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -13,6 +13,7 @@
 	"github.com/papayapath/papayapath/pkg/latency"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/roster"
 )
 
 const (
@@ -84,9 +85,7 @@
 	}
 	c.tried = append(c.tried, node)
 	c.offers++
-	s := n.serverAt(node)
-	s.since++
-	s.open++
+	n.roster.Begin(node)
 	id := n.offers.Add(1)
 	n.pending[id] = p
 	c.open = append(c.open, id)
@@ -109,7 +108,7 @@
 // close removes an offer from the table.
 func (n *Node) close(id uint64, p *pending) {
 	delete(n.pending, id)
-	n.serverAt(p.node).open--
+	n.roster.End(p.node)
 }
 
 // abandonAll cancels the offers of a request whose answer is no longer wanted.
@@ -129,7 +128,7 @@
 	if p != nil {
 		n.close(id, p)
 		if late {
-			n.serverAt(p.node).slow(now, now.Sub(p.sentAt))
+			n.roster.Late(now, p.node, now.Sub(p.sentAt))
 		}
 	}
 	n.mu.Unlock()
@@ -151,8 +150,7 @@
 		return
 	}
 	n.close(a.ID, p)
-	s := n.serverAt(p.node)
-	s.load, s.limit, s.time, s.since, s.told = a.Load, a.Limit, a.Time, 0, now
+	n.roster.Told(now, p.node, roster.Report{Load: a.Load, Limit: a.Limit, Time: a.Time})
 	p.call.delay += a.Delay
 	p.call.refused = p.call.refused || a.Refused
 	p.call.shed = p.call.shed || a.Outcome == outcome.NotRun && !a.Sent && noPlace(a.Reason)
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,143 @@
+package roster
+
+import "time"
+
+// Candidate is a node whose backend server takes requests of a service.
+type Candidate struct {
+	Node    string // address of the node
+	Service string
+	Slots   int  // requests that the server runs at once, as announced; 0 if unknown
+	Home    bool // in the own failure domain
+}
+
+// Report is what a node tells of its server on an answer.
+type Report struct {
+	Load  int           // requests that run or wait there
+	Limit int           // requests that it runs at once
+	Time  time.Duration // that a request takes there, without waiting
+}
+
+// Roster holds the servers of all services as one node sees them. It is not
+// safe for concurrent use.
+type Roster struct {
+	servers  map[string]*server // by address of the node
+	services map[string][]*server
+}
+
+// New returns a roster without servers.
+func New() *Roster {
+	return &Roster{servers: make(map[string]*server), services: make(map[string][]*server)}
+}
+
+// Replace sets the servers that can be chosen. What was told of a server is
+// kept while its node remains known.
+func (r *Roster) Replace(candidates []Candidate) {
+	clear(r.services)
+	for _, c := range candidates {
+		s := r.at(c.Node)
+		s.slots, s.home = c.Slots, c.Home
+		r.services[c.Service] = append(r.services[c.Service], s)
+	}
+}
+
+// Forget removes what is known of a node that is gone.
+func (r *Roster) Forget(node string) { delete(r.servers, node) }
+
+// Begin records that a request is offered to a node.
+func (r *Roster) Begin(node string) {
+	s := r.at(node)
+	s.since++
+	s.open++
+}
+
+// End records that an offer to a node has ended, with or without an answer.
+func (r *Roster) End(node string) {
+	if s := r.servers[node]; s != nil && s.open > 0 {
+		s.open--
+	}
+}
+
+// Told takes over what a node reported.
+func (r *Roster) Told(now time.Time, node string, report Report) {
+	s := r.at(node)
+	s.report, s.since, s.told = report, 0, now
+}
+
+// Late records that a request got no answer from a node for a time.
+func (r *Roster) Late(now time.Time, node string, waited time.Duration) {
+	s := r.at(node)
+	s.report.Time = max(s.report.Time, waited)
+	s.told = now
+}
+
+// Open returns the number of offers to a node that have not ended.
+func (r *Roster) Open(node string) int {
+	if s := r.servers[node]; s != nil {
+		return s.open
+	}
+	return 0
+}
+
+// HasRoom reports whether a server has a free place as far as is known.
+func (r *Roster) HasRoom(node string) bool {
+	s := r.servers[node]
+	return s != nil && s.report.Load+s.since < s.report.Limit
+}
+
+// Choose returns the node of a service at which a request is likely to be
+// answered first, among those that are usable, or "". random, in [0, 1), decides
+// between equals, so that nodes which know nothing yet spread their requests.
+func (r *Roster) Choose(now time.Time, service string, random float64, usable func(node string) bool) string {
+	servers := r.services[service]
+	all := total(servers)
+	offset := int(random * float64(len(servers)))
+	best, least := "", time.Duration(0)
+	for i := range servers {
+		s := servers[(i+offset)%len(servers)]
+		cost := s.cost(now, all.without(s))
+		if (best == "" || cost < least) && usable(s.node) {
+			best, least = s.node, cost
+		}
+	}
+	return best
+}
+
+// at returns the record of the server beside a node.
+func (r *Roster) at(node string) *server {
+	s := r.servers[node]
+	if s == nil {
+		s = &server{node: node}
+		r.servers[node] = s
+	}
+	return s
+}
+
+// times sums up the run times that servers told.
+type times struct {
+	sum   time.Duration
+	count int
+}
+
+func total(servers []*server) times {
+	var t times
+	for _, s := range servers {
+		if s.report.Time > 0 {
+			t.sum += s.report.Time
+			t.count++
+		}
+	}
+	return t
+}
+
+// without returns the mean run time of the other servers. With its own run time
+// in it, a slow server of a small service would never look like the others.
+func (t times) without(s *server) time.Duration {
+	if s.report.Time > 0 {
+		t.sum -= s.report.Time
+		t.count--
+	}
+	if t.count == 0 {
+		return shortest
+	}
+	return t.sum / time.Duration(t.count)
+}
