Stretch the times of the failure detector under strain

Change: probes that fail add to a strain and runs of answered ones take from it; the strain stretches intervals, time-outs and suspicions, up to nine times.

--- a/pkg/detector/detector.go
+++ b/pkg/detector/detector.go
@@ -17,9 +17,17 @@
 	defaultPartners = 32
 )
 
-// pauseFactor is the number of intervals without a Tick after which the node
-// takes itself to have been paused.
-const pauseFactor = 2
+const (
+	// pauseFactor is the number of intervals without a Tick after which the
+	// node takes itself to have been paused.
+	pauseFactor = 2
+	// mostStrain bounds the strain, as in the publication on Lifeguard: times
+	// grow to nine times their settings.
+	mostStrain = 8
+	// calm is the number of answered probes in a row that take one from the
+	// strain. With one of them, every second probe of a slow target fails.
+	calm = 8
+)
 
 // Kind says what an Action asks for.
 type Kind uint8
@@ -46,6 +54,11 @@
 
 // Detector probes a set of targets. It must not be used by two goroutines at
 // the same time.
+//
+// If probes of many targets fail, it is more likely the own node, its machine or
+// its network that is slow. Each failed probe adds to the strain and several
+// answered ones take from it; the strain stretches all times, so that nodes on
+// a busy machine do not take each other for dead.
 type Detector struct {
 	self     instance.ID
 	random   *rand.Rand
@@ -60,6 +73,8 @@
 	ranks    []ranked
 	changed  bool // targets have changed since partners were chosen
 
+	strain  int // from 0 to mostStrain
+	calm    int // answered probes in a row
 	seq     uint64
 	probes  []probe // in the order in which they were sent
 	relayed map[uint64]relay
@@ -145,6 +160,11 @@
 // Interval returns the time between two probes.
 func (d *Detector) Interval() time.Duration { return d.interval }
 
+// Stretch returns the time that stands for t under the present strain.
+func (d *Detector) Stretch(t time.Duration) time.Duration {
+	return t * time.Duration(1+d.strain)
+}
+
 // Next returns the time at which Tick has something to do.
 func (d *Detector) Next() time.Time {
 	next := d.due
@@ -170,7 +190,7 @@
 	if now.Before(d.due) {
 		return out, paused
 	}
-	d.due = now.Add(d.interval)
+	d.due = now.Add(d.Stretch(d.interval))
 	d.refresh()
 	if target, ok := d.partners.next(d.random); ok {
 		out = d.probe(now, target, out)
@@ -208,7 +228,7 @@
 
 func (d *Detector) probe(now time.Time, target instance.ID, out []Action) []Action {
 	d.seq++
-	p := probe{seq: d.seq, target: target, timeout: now.Add(d.timeout), deadline: now.Add(d.interval)}
+	p := probe{seq: d.seq, target: target, timeout: now.Add(d.Stretch(d.timeout)), deadline: now.Add(d.Stretch(d.interval))}
 	d.probes = append(d.probes, p)
 	return append(out, Action{Kind: Probe, To: target, Target: target, Seq: d.seq})
 }
@@ -218,6 +238,7 @@
 	open := d.probes[:0]
 	for _, p := range d.probes {
 		if !now.Before(p.deadline) {
+			d.strain, d.calm = min(d.strain+1, mostStrain), 0
 			out = d.fail(p.target, out)
 			continue
 		}
@@ -257,6 +278,7 @@
 	answered := func(p probe) bool { return p.seq == a.Seq && p.target == a.Target }
 	if i := slices.IndexFunc(d.probes, answered); i >= 0 {
 		d.probes = slices.Delete(d.probes, i, i+1)
+		d.relax()
 		return out
 	}
 	r, ok := d.relayed[a.Seq]
@@ -267,11 +289,18 @@
 	return append(out, Action{Kind: Ack, To: r.origin, Target: r.target, Seq: r.seq})
 }
 
+// relax takes from the strain after enough answers in a row.
+func (d *Detector) relax() {
+	if d.calm++; d.calm >= calm {
+		d.strain, d.calm = max(d.strain-1, 0), 0
+	}
+}
+
 func (d *Detector) relay(now time.Time, from instance.ID, r *message.ProbeRequest, out []Action) []Action {
 	if r.Target == d.self {
 		return append(out, Action{Kind: Ack, To: from, Target: d.self, Seq: r.Seq})
 	}
 	d.seq++
-	d.relayed[d.seq] = relay{origin: from, seq: r.Seq, target: r.Target, deadline: now.Add(d.interval)}
+	d.relayed[d.seq] = relay{origin: from, seq: r.Seq, target: r.Target, deadline: now.Add(d.Stretch(d.interval))}
 	return append(out, Action{Kind: Probe, To: r.Target, Target: r.Target, Seq: d.seq})
 }
--- a/pkg/membership/apply.go
+++ b/pkg/membership/apply.go
@@ -101,7 +101,7 @@
 	}
 	switch {
 	case r.State == message.Suspected && old.State != message.Suspected:
-		m.suspects[address] = now.Add(m.suspicion)
+		m.suspects[address] = now.Add(m.detector.Stretch(m.suspicion))
 		m.tell(Suspected, r)
 	case r.State == message.Alive && old.State == message.Suspected:
 		delete(m.suspects, address)
