Put heavy loads under virtual time; send shedding servers what the budget allows

Cause: nothing without a bench showed what part of the limit of a load is earned. internal/lab/overload composes windows, queues, choice of server, budgets and returns under virtual time, beside the limit of package optimum, at 13 and 91 instances. It showed that a server which sheds half of its requests looks idle and drew 47% of the calls of three servers; its sheds were twice what the retry budget bears, and a quarter of all runs failed for a call.

Change: pkg/roster follows the part of failures of each server. A failing server is chosen only while the retry budget has room for the retries to be expected. The virtual timeline moves to internal/lab/timeline, for both virtual worlds.

--- a/internal/lab/optimum/scenario.go
+++ b/internal/lab/optimum/scenario.go
@@ -22,7 +22,13 @@
 	Work    float64 `json:"work" validate:"gt=0"`             // at a server of speed 1, ms
 	Rate    float64 `json:"rate" validate:"omitempty,gte=0"`  // requests of clients per second; 0 for calls
 	Worth   float64 `json:"worth" validate:"omitempty,gte=0"` // of an answer in time
-	Calls   []Call  `json:"calls" validate:"omitempty,dive"`
+	// Objective is the time within which an answer has its worth, and Wait how
+	// long the client waits at all, both in ms; 0 for calls.
+	Objective float64 `json:"objective" validate:"omitempty,gt=0"`
+	Wait      float64 `json:"wait" validate:"omitempty,gtefield=Objective"`
+	// Level is the importance; Normal if it is missing.
+	Level string `json:"level" validate:"omitempty,oneof=background normal high critical"`
+	Calls []Call `json:"calls" validate:"omitempty,dive"`
 }
 
 // Call says how often a run calls another class.
--- /dev/null
+++ b/internal/lab/overload/world.go
@@ -0,0 +1,151 @@
+package overload
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/papayapath/papayapath/internal/lab/optimum"
+	"github.com/papayapath/papayapath/internal/lab/timeline"
+	"github.com/papayapath/papayapath/pkg/importance"
+	"github.com/papayapath/papayapath/pkg/roster"
+)
+
+const (
+	// hop is the time of a message between two instances.
+	hop = 1200 * time.Microsecond
+	// domains is the number of failure domains.
+	domains = 3
+	// defaultWait and defaultObjective apply to classes that state none.
+	defaultWait      = 5 * time.Second
+	defaultObjective = time.Second
+)
+
+// Pattern says what makes a load hard. The zero value is a calm one.
+type Pattern struct {
+	// Load is the rate of new requests in parts of the stated one; 0 counts as 1.
+	Load float64
+	// Returns is how often a client sends a request again after a refusal or a
+	// failure; 0 counts as once.
+	Returns int
+	// Hard clients come back after 50 ms, whatever they were told.
+	Hard bool
+	// Slow is the service one of whose servers takes SlowBy times as long.
+	Slow   string
+	SlowBy float64
+	// Grey is the service one of whose servers sheds a part of what it gets.
+	Grey string
+	Shed float64
+}
+
+// World is a deployment with its clients under virtual time. It is not safe for
+// concurrent use.
+type World struct {
+	*timeline.Timeline
+	scenario *optimum.Scenario
+	pattern  Pattern
+	random   *rand.Rand
+	classes  map[string]*class
+	nodes    []*node
+	names    map[string]*node
+	requests uint64
+	figures  Figures
+}
+
+// class is a kind of request with what is derived from it.
+type class struct {
+	*optimum.Class
+	level     importance.Level
+	objective time.Duration
+	wait      time.Duration
+	calls     []*class // one for each call, in their order
+}
+
+// New returns the deployment of a scenario, each server with a node. It returns
+// an *importance.NameError for a class of an unknown importance.
+func New(s *optimum.Scenario, p Pattern, seed uint64) (*World, error) {
+	w := &World{
+		Timeline: timeline.New(time.Date(2026, time.January, 5, 8, 0, 0, 0, time.UTC)),
+		scenario: s, pattern: p, random: rand.New(rand.NewPCG(seed, seed)),
+		classes: make(map[string]*class), names: make(map[string]*node),
+	}
+	if err := w.addClasses(); err != nil {
+		return nil, err
+	}
+	var candidates []roster.Candidate
+	for _, v := range s.Services {
+		for i := range v.Servers {
+			n := newNode(w, v, i)
+			w.nodes, w.names[n.name] = append(w.nodes, n), n
+			candidates = append(candidates, roster.Candidate{Node: n.name, Service: v.Name, Slots: v.Slots})
+		}
+	}
+	for _, n := range w.nodes {
+		n.join(candidates)
+	}
+	for _, c := range s.Classes {
+		w.startClients(w.classes[c.Name])
+	}
+	return w, nil
+}
+
+func (w *World) addClasses() error {
+	for i := range w.scenario.Classes {
+		c := &class{Class: &w.scenario.Classes[i], level: importance.Normal, objective: defaultObjective, wait: defaultWait}
+		if c.Level != "" {
+			var err error
+			if c.level, err = importance.Parse(c.Level); err != nil {
+				return err
+			}
+		}
+		if c.Objective > 0 {
+			c.objective = milliseconds(c.Objective)
+		}
+		if c.Wait > 0 {
+			c.wait = milliseconds(c.Wait)
+		}
+		w.classes[c.Name] = c
+	}
+	for _, c := range w.classes {
+		for _, call := range c.Calls {
+			for range int(call.Times) {
+				c.calls = append(c.calls, w.classes[call.Class])
+			}
+		}
+	}
+	return nil
+}
+
+func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Figures are what clients asked for and got.
+type Figures struct {
+	asked, earned  float64
+	requests, late int
+	refused        int
+	runs, wasted   int
+}
+
+// Reset begins to count anew, as at the end of a warm-up.
+func (w *World) Reset() { w.figures = Figures{} }
+
+// Figures returns what was counted since the start or the last Reset. Requests
+// count when they have ended.
+func (w *World) Figures() Figures { return w.figures }
+
+// Worth returns the worth of the answers in time, as a part of what was asked for.
+func (f Figures) Worth() float64 {
+	if f.asked == 0 {
+		return 1
+	}
+	return f.earned / f.asked
+}
+
+// Late returns the part of the requests that were answered after their objective.
+func (f Figures) Late() float64 { return float64(f.late) / float64(max(1, f.requests)) }
+
+// Refused returns the part of the requests that were refused for good or failed.
+func (f Figures) Refused() float64 { return float64(f.refused) / float64(max(1, f.requests)) }
+
+// Wasted returns the part of the runs that failed for want of an answer to one
+// of their calls.
+func (f Figures) Wasted() float64 { return float64(f.wasted) / float64(max(1, f.runs)) }
--- a/internal/lab/virtual/events.go
+++ b/internal/lab/timeline/timeline.go
@@ -1,4 +1,4 @@
-package virtual
+package timeline
 
 import (
 	"container/heap"
@@ -34,19 +34,33 @@
 	return x
 }
 
-// after enters an event that happens in d.
-func (w *World) after(d time.Duration, do func()) {
-	w.order++
-	heap.Push(&w.events, event{at: w.now.Add(d), order: w.order, do: do})
+// Timeline is virtual time with the events that are due in it. It is not safe
+// for concurrent use.
+type Timeline struct {
+	now    time.Time
+	events events
+	order  uint64
+}
+
+// New returns a timeline that stands at start.
+func New(start time.Time) *Timeline { return &Timeline{now: start} }
+
+// Now returns the present virtual time.
+func (t *Timeline) Now() time.Time { return t.now }
+
+// After enters an event that happens in d.
+func (t *Timeline) After(d time.Duration, do func()) {
+	t.order++
+	heap.Push(&t.events, event{at: t.now.Add(d), order: t.order, do: do})
 }
 
 // Run lets virtual time pass.
-func (w *World) Run(d time.Duration) {
-	end := w.now.Add(d)
-	for len(w.events) > 0 && !w.events[0].at.After(end) {
-		next := heap.Pop(&w.events).(event)
-		w.now = next.at
+func (t *Timeline) Run(d time.Duration) {
+	end := t.now.Add(d)
+	for len(t.events) > 0 && !t.events[0].at.After(end) {
+		next := heap.Pop(&t.events).(event)
+		t.now = next.at
 		next.do()
 	}
-	w.now = end
+	t.now = end
 }
--- a/internal/lab/virtual/client.go
+++ b/internal/lab/virtual/client.go
@@ -50,7 +50,7 @@
 func (c *client) arrive() {
 	w := c.world
 	gap := c.random.ExpFloat64() / (c.customer.Rate * w.demand)
-	w.after(time.Duration(gap*float64(time.Second)), func() {
+	w.After(time.Duration(gap*float64(time.Second)), func() {
 		if !w.loaded {
 			return
 		}
@@ -61,10 +61,10 @@
 
 func (c *client) newRequest(class load.Class, crash bool) *request {
 	c.number++
-	r := &request{client: c, class: class, arrived: c.world.now, crash: crash}
+	r := &request{client: c, class: class, arrived: c.world.Now(), crash: crash}
 	r.root = fmt.Sprintf("%s-%d", c.customer.Name, c.number)
 	if class.Once {
-		r.key = message.KeyAt(c.world.now, []byte(r.root))
+		r.key = message.KeyAt(c.world.Now(), []byte(r.root))
 	}
 	c.world.history.Send(r.root, class.Importance)
 	return r
@@ -81,18 +81,18 @@
 		return
 	}
 	answered := false
-	w.after(r.class.Deadline, func() {
+	w.After(r.class.Deadline, func() {
 		if !answered && sent == r.sends {
 			answered = true
 			r.fail()
 		}
 	})
-	w.after(w.latency(), func() {
+	w.After(w.latency(), func() {
 		if !h.up {
 			return
 		}
 		h.call(r.dispatch(), message.CallID{}, func(a *message.Answer) {
-			w.after(w.latency(), func() {
+			w.After(w.latency(), func() {
 				r.told(sent, a)
 				if !answered {
 					answered = true
@@ -125,7 +125,7 @@
 	})
 	w.reasons[a.Outcome.String()+" "+a.Reason.String()]++
 	if a.Reason == outcome.Overload {
-		w.history.Refuse(history.Refusal{Root: r.root, Service: r.class.Service, At: w.now})
+		w.history.Refuse(history.Refusal{Root: r.root, Service: r.class.Service, At: w.Now()})
 	}
 }
 
@@ -133,7 +133,7 @@
 func (r *request) judge(a *message.Answer) {
 	switch {
 	case a.Outcome == outcome.Complete && a.Status == http.StatusOK:
-		r.finished = r.client.world.now
+		r.finished = r.client.world.Now()
 		r.finish()
 	case a.Outcome == outcome.Complete && r.key != "":
 		r.finish() // the answer of a key stays the same
@@ -152,7 +152,7 @@
 	if r.client.world.hard {
 		pause = hardPause
 	}
-	r.client.world.after(pause, r.send)
+	r.client.world.After(pause, r.send)
 }
 
 func (r *request) finish() {
--- a/internal/lab/virtual/host.go
+++ b/internal/lab/virtual/host.go
@@ -75,20 +75,20 @@
 	again = func() {
 		if h.up && h.id == life {
 			h.do(decide)
-			h.world.after(interval, again)
+			h.world.After(interval, again)
 		}
 	}
 	// A random start keeps the timers of all nodes from firing together.
-	h.world.after(time.Duration(h.world.random.Int64N(int64(interval))), again)
+	h.world.After(time.Duration(h.world.random.Int64N(int64(interval))), again)
 }
 
 // do makes a decision, once the process is not paused, and carries out what
 // follows from it.
 func (h *host) do(decide func(now time.Time, out *node.Output)) {
 	w := h.world
-	if wait := h.paused.Sub(w.now); wait > 0 {
+	if wait := h.paused.Sub(w.Now()); wait > 0 {
 		life := h.id
-		w.after(wait, func() {
+		w.After(wait, func() {
 			if h.up && h.id == life {
 				h.do(decide)
 			}
@@ -96,7 +96,7 @@
 		return
 	}
 	var out node.Output
-	decide(w.now, &out)
+	decide(w.Now(), &out)
 	h.perform(&out)
 }
 
@@ -113,7 +113,7 @@
 func (h *host) connectionLost(id instance.ID) {
 	for a, to := range h.offers {
 		if to == id {
-			h.world.after(h.world.latency(), func() { h.lost(a, to, true) })
+			h.world.After(h.world.latency(), func() { h.lost(a, to, true) })
 		}
 	}
 }
@@ -152,9 +152,9 @@
 		}, nil)
 	}
 	for _, a := range out.Appends {
-		w.after(w.latency(), func() {
+		w.After(w.latency(), func() {
 			result := w.log.append(a)
-			w.after(w.latency(), func() { h.appended(a, result) })
+			w.After(w.latency(), func() { h.appended(a, result) })
 		})
 	}
 	for _, r := range out.Reads {
@@ -171,10 +171,10 @@
 
 func (h *host) read(r node.Read) {
 	w := h.world
-	started := w.now
-	w.after(w.latency(), func() {
+	started := w.Now()
+	w.After(w.latency(), func() {
 		batch, err := w.log.read(r.Stream, r.From)
-		w.after(w.latency(), func() {
+		w.After(w.latency(), func() {
 			if !h.up {
 				return
 			}
--- a/internal/lab/virtual/server.go
+++ b/internal/lab/virtual/server.go
@@ -62,9 +62,9 @@
 // accept takes a call that the node hands over.
 func (s *server) accept(o *message.Offer) {
 	w := s.host.world
-	r := &run{offer: o, identity: wire.Read(get(o.Header)), deadline: w.now.Add(o.Remaining)}
+	r := &run{offer: o, identity: wire.Read(get(o.Header)), deadline: w.Now().Add(o.Remaining)}
 	s.runs[attempt{o.Call, o.Attempt}] = r
-	w.after(handOver, func() { s.enter(r) })
+	w.After(handOver, func() { s.enter(r) })
 }
 
 func get(header []message.Field) wire.Get {
@@ -95,13 +95,13 @@
 // begin starts a run, unless its deadline has passed.
 func (s *server) begin(r *run) {
 	w := s.host.world
-	if !w.now.Before(r.deadline) {
+	if !w.Now().Before(r.deadline) {
 		s.end(r, message.Answer{Outcome: outcome.Complete, Status: http.StatusGatewayTimeout})
 		return
 	}
 	s.busy++
-	s.started = append(s.started, w.now)
-	r.record = w.history.Start(history.Run{Identity: r.identity, Service: s.host.service.Name, Start: w.now})
+	s.started = append(s.started, w.Now())
+	r.record = w.history.Start(history.Run{Identity: r.identity, Service: s.host.service.Name, Start: w.Now()})
 	if r.identity.Crash {
 		w.crashes++
 		s.crash()
@@ -119,7 +119,7 @@
 	}
 	factor := s.slow * (1 + spread*(2*w.random.Float64()-1))
 	r.time = time.Duration(float64(r.time) * factor)
-	w.after(r.time/2, func() { s.step(r, 0) })
+	w.After(r.time/2, func() { s.step(r, 0) })
 }
 
 // step makes the next call of a run, or ends it.
@@ -135,7 +135,7 @@
 			s.step(r, n+1)
 		})
 	default:
-		s.host.world.after(r.time/2, func() { s.finish(r, http.StatusOK) })
+		s.host.world.After(r.time/2, func() { s.finish(r, http.StatusOK) })
 	}
 }
 
@@ -170,7 +170,7 @@
 		return
 	}
 	s.release(r)
-	if !s.host.world.now.Before(r.deadline) {
+	if !s.host.world.Now().Before(r.deadline) {
 		status = http.StatusGatewayTimeout
 	}
 	s.end(r, message.Answer{Outcome: outcome.Complete, Status: status, Length: int64(r.size)})
@@ -178,7 +178,7 @@
 
 // release frees the slot of a run and starts the next one.
 func (s *server) release(r *run) {
-	s.host.world.history.End(r.record, s.host.world.now)
+	s.host.world.history.End(r.record, s.host.world.Now())
 	s.busy--
 	for s.up && s.busy < s.host.service.Slots && len(s.waiting) > 0 {
 		next := s.waiting[0]
@@ -196,7 +196,7 @@
 	delete(s.runs, attempt{r.offer.Call, r.offer.Attempt})
 	call, number := r.offer.Call, r.offer.Attempt
 	life := h.id
-	h.world.after(handOver, func() {
+	h.world.After(handOver, func() {
 		if h.up && h.id == life {
 			h.do(func(now time.Time, out *node.Output) { h.node.Done(now, call, number, a, nil, out) })
 		}
@@ -229,7 +229,7 @@
 	}
 	s.busy, s.waiting = 0, nil
 	s.host.do(s.host.node.Lose)
-	s.host.world.after(restartTime, func() {
+	s.host.world.After(restartTime, func() {
 		s.restarts++
 		s.up = true
 	})
--- a/internal/lab/virtual/view.go
+++ b/internal/lab/virtual/view.go
@@ -14,7 +14,7 @@
 	found := make(map[stream.Position]int)
 	for _, h := range w.hosts {
 		if h.up {
-			found[h.node.Status(w.now).Version()]++
+			found[h.node.Status(w.Now()).Version()]++
 		}
 	}
 	return found
@@ -26,7 +26,7 @@
 	least := math.Inf(1)
 	for _, h := range w.hosts {
 		if h.up {
-			least = min(least, h.node.Status(w.now).Rate(customer))
+			least = min(least, h.node.Status(w.Now()).Rate(customer))
 		}
 	}
 	return least
--- a/internal/lab/virtual/world.go
+++ b/internal/lab/virtual/world.go
@@ -10,6 +10,7 @@
 	"github.com/papayapath/papayapath/internal/lab/deployment"
 	"github.com/papayapath/papayapath/internal/lab/figures"
 	"github.com/papayapath/papayapath/internal/lab/history"
+	"github.com/papayapath/papayapath/internal/lab/timeline"
 	"github.com/papayapath/papayapath/pkg/contract"
 	"github.com/papayapath/papayapath/pkg/declarations"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -35,11 +36,9 @@
 
 // World is a deployment under virtual time. It is not safe for concurrent use.
 type World struct {
+	*timeline.Timeline
 	deployment  *deployment.Deployment
 	seed        uint64
-	now         time.Time
-	events      events
-	order       uint64
 	random      *rand.Rand
 	incarnation uint64
 	hosts       []*host
@@ -60,7 +59,7 @@
 // running and its contracts published.
 func New(d *deployment.Deployment, seed uint64) *World {
 	w := &World{
-		deployment: d, seed: seed, now: epoch,
+		Timeline: timeline.New(epoch), deployment: d, seed: seed,
 		random: rand.New(rand.NewPCG(seed, seed)),
 		log:    newLog(), history: history.New(), reasons: make(map[string]int),
 		demand: 1, cut: make(map[[2]int]bool), incarnation: 1000,
@@ -77,9 +76,6 @@
 	return w
 }
 
-// Now returns the present virtual time.
-func (w *World) Now() time.Time { return w.now }
-
 // Deployment returns what runs in the world.
 func (w *World) Deployment() *deployment.Deployment { return w.deployment }
 
@@ -101,7 +97,7 @@
 
 // Publish appends contracts to the log, as an operator does.
 func (w *World) Publish(contracts ...*contract.Contract) {
-	change := &message.Change{Operator: "virtual", Base: w.hosts[0].node.Status(w.now).Version()}
+	change := &message.Change{Operator: "virtual", Base: w.hosts[0].node.Status(w.Now()).Version()}
 	for _, c := range contracts {
 		change.Contracts = append(change.Contracts, c.Document())
 	}
@@ -170,7 +166,7 @@
 func (w *World) CrashServer(i int) { w.hosts[i].server.crash() }
 
 // Pause stops the process of a node for a time. Its backend server goes on.
-func (w *World) Pause(i int, d time.Duration) { w.hosts[i].paused = w.now.Add(d) }
+func (w *World) Pause(i int, d time.Duration) { w.hosts[i].paused = w.Now().Add(d) }
 
 // Drain makes the backend server of an instance leave.
 func (w *World) Drain(i int) {
@@ -227,7 +223,7 @@
 	life := from.id
 	if !to.up || w.cut[[2]int{from.domain, to.domain}] {
 		if lost != nil {
-			w.after(dialTimeout, func() {
+			w.After(dialTimeout, func() {
 				if from.up && from.id == life {
 					lost()
 				}
@@ -236,7 +232,7 @@
 		return
 	}
 	target := to.id
-	w.after(delay, func() {
+	w.After(delay, func() {
 		if to.up && to.id == target {
 			arrive(to)
 		}
--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -263,7 +263,7 @@
 func (n *Node) hedge(c *call) {
 	now := time.Now()
 	n.mu.Lock()
-	allowed := !n.stopping && c.offers == 1 && len(c.open) == 1 && n.roster.HasRoom(n.choose(now, c.service, c.tried)) && n.spend(now, c, false)
+	allowed := !n.stopping && c.offers == 1 && len(c.open) == 1 && n.roster.HasRoom(n.choose(now, c)) && n.spend(now, c, false)
 	if allowed {
 		if p := n.pending[c.open[0]]; p != nil {
 			n.roster.Late(now, p.node, now.Sub(p.sentAt))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -171,15 +171,18 @@
 }
 
 // choose returns the node to which a request is offered next, or "".
-func (n *Node) choose(now time.Time, service string, tried []string) string {
+func (n *Node) choose(now time.Time, c *call) string {
 	n.refreshRoster()
-	node := n.roster.Choose(now, service, rand.Float64(), func(node string) bool {
-		return !slices.Contains(tried, node) && (node == n.self.Node || n.mesh.Link(node) != nil)
-	})
-	if node == "" {
-		return n.lastResort(service, tried)
+	usable := func(node string) bool {
+		return !slices.Contains(c.tried, node) && (node == n.self.Node || n.mesh.Link(node) != nil)
+	}
+	afford := func(retries float64) bool {
+		return n.allowance(c.service).Allows(now, n.registry.Len(), c.offer.Priority.Level(), retries)
+	}
+	if node := n.roster.Choose(now, c.service, rand.Float64(), usable, afford); node != "" {
+		return node
 	}
-	return node
+	return n.lastResort(c.service, c.tried)
 }
 
 // refreshRoster brings the servers that can be chosen to what the registry
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -70,7 +70,7 @@
 func (n *Node) prepare(now time.Time, c *call) (uint64, *pending, outcome.Reason) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	node := n.choose(now, c.service, c.tried)
+	node := n.choose(now, c)
 	switch {
 	case node == "" && c.offers == 0:
 		return 0, nil, outcome.Unavailable
@@ -150,7 +150,9 @@
 		return
 	}
 	n.close(a.ID, p)
-	n.roster.Told(now, p.node, roster.Report{Load: a.Load, Limit: a.Limit, Time: a.Time})
+	n.roster.Told(now, p.node, roster.Report{
+		Load: a.Load, Limit: a.Limit, Time: a.Time, Failed: a.Sent && a.Outcome != outcome.Complete,
+	})
 	p.call.delay += a.Delay
 	p.call.refused = p.call.refused || a.Refused
 	p.call.shed = p.call.shed || a.Outcome == outcome.NotRun && !a.Sent && noPlace(a.Reason)
@@ -216,7 +218,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.choose(now, c.service, c.tried) == "" || !n.spend(now, c, a.Outcome == outcome.NotRun) {
+	if n.choose(now, c) == "" || !n.spend(now, c, a.Outcome == outcome.NotRun) {
 		return false
 	}
 	n.figures.retries.Inc(1)
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -15,6 +15,10 @@
 	Load  int           // requests that run or wait there
 	Limit int           // requests that it runs at once
 	Time  time.Duration // that a request takes there, without waiting
+	// Failed says that the server shed the request or broke off, so that it is
+	// sent again or lost. A server that sheds is idle and quick, and would draw
+	// more and more requests.
+	Failed bool
 }
 
 // Roster holds the servers of all services as one node sees them. It is not
@@ -61,6 +65,11 @@
 func (r *Roster) Told(now time.Time, node string, report Report) {
 	s := r.at(node)
 	s.report, s.since, s.told = report, 0, now
+	failed := 0.0
+	if report.Failed {
+		failed = 1
+	}
+	s.failures += failureWeight * (failed - s.failures)
 }
 
 // Late records that a request got no answer from a node for a time.
@@ -87,21 +96,48 @@
 // Choose returns the node of a service at which a request is likely to be
 // answered first, among those that are usable, or "". random, in [0, 1), decides
 // between equals, so that nodes which know nothing yet spread their requests.
-func (r *Roster) Choose(now time.Time, service string, random float64, usable func(node string) bool) string {
+//
+// A server that sheds part of its requests can take more than the others, but
+// each one that it sheds needs a retry. It is chosen only while afford says that
+// the retry budget has room for the retries to be expected, or if there is no
+// other.
+func (r *Roster) Choose(now time.Time, service string, random float64, usable func(node string) bool, afford func(retries float64) bool) string {
 	servers := r.services[service]
 	all := total(servers)
 	offset := int(random * float64(len(servers)))
-	best, least := "", time.Duration(0)
+	var best, sound choice
 	for i := range servers {
 		s := servers[(i+offset)%len(servers)]
 		cost := s.cost(now, all.without(s))
-		if (best == "" || cost < least) && usable(s.node) {
-			best, least = s.node, cost
+		better, sounder := best.beats(cost), s.failing(now) < failingFrom && sound.beats(cost)
+		if !better && !sounder || !usable(s.node) {
+			continue
+		}
+		if better {
+			best = choice{s, cost}
 		}
+		if sounder {
+			sound = choice{s, cost}
+		}
+	}
+	switch {
+	case best.server == nil:
+		return ""
+	case sound.server != nil && best.server != sound.server && !afford(best.server.retries(now)):
+		return sound.server.node
 	}
-	return best
+	return best.server.node
 }
 
+// choice is the best server so far.
+type choice struct {
+	server *server
+	cost   time.Duration
+}
+
+// beats reports whether a server of another cost is better.
+func (c choice) beats(cost time.Duration) bool { return c.server == nil || cost < c.cost }
+
 // at returns the record of the server beside a node.
 func (r *Roster) at(node string) *server {
 	s := r.servers[node]
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -15,6 +15,8 @@
 
 func anyNode(string) bool { return true }
 
+func always(float64) bool { return true }
+
 // newRoster returns a roster of servers of 10 slots that have answered within
 // 50 ms and are idle.
 func newRoster(nodes ...string) *roster.Roster {
@@ -34,7 +36,7 @@
 func counts(r *roster.Roster, now time.Time, n int) map[string]int {
 	got := make(map[string]int)
 	for range n {
-		node := r.Choose(now, service, 0.5, anyNode)
+		node := r.Choose(now, service, 0.5, anyNode, always)
 		r.Begin(node)
 		got[node]++
 	}
@@ -88,8 +90,8 @@
 	}
 	require.Equal(t, map[string]int{"home": 4, "away": 2}, counts(r, start, 6))
 	require.LessOrEqual(t, counts(r, start, 10)["home"], 6)
-	require.Equal(t, "away", r.Choose(start, service, 0, func(node string) bool { return node != "home" }))
-	require.Empty(t, r.Choose(start, service, 0, func(string) bool { return false }))
+	require.Equal(t, "away", r.Choose(start, service, 0, func(node string) bool { return node != "home" }, always))
+	require.Empty(t, r.Choose(start, service, 0, func(string) bool { return false }, always))
 }
 
 // Guards against counts of a node that was gone and is back: offers that end
@@ -112,3 +114,19 @@
 	r.Begin("a")
 	require.False(t, r.HasRoom("a"))
 }
+
+// Guards against a server that sheds half of its requests and so looks idle: it
+// drew half of the load of three servers, and a fifth of all requests found no
+// retry. Without budget it gets none while others are there.
+func TestGreyServerGetsWhatTheBudgetAllows(t *testing.T) {
+	r := newRoster("a", "b")
+	for i := range 64 {
+		r.Told(start, "b", roster.Report{Limit: 10, Time: 5 * time.Millisecond, Failed: i%2 == 0})
+	}
+	r.Told(start, "a", roster.Report{Load: 9, Limit: 10, Time: 50 * time.Millisecond})
+	require.Equal(t, "b", r.Choose(start, service, 0, anyNode, func(retries float64) bool { return retries <= 1 }))
+	never := func(float64) bool { return false }
+	require.Equal(t, "a", r.Choose(start, service, 0, anyNode, never))
+	onlyB := func(node string) bool { return node == "b" }
+	require.Equal(t, "b", r.Choose(start, service, 0, onlyB, never))
+}
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -14,6 +14,14 @@
 	leastFree = 0.1
 	// shortest is the run time assumed where none is known.
 	shortest = time.Millisecond
+	// failureWeight is the part of one answer in the mean part of failures.
+	failureWeight = 1.0 / 16
+	// leastGood bounds the part of good answers from below, so that a server
+	// which fails all requests still gets some that tell when it is well again.
+	leastGood = 0.1
+	// failingFrom is the part of failures from which on a server needs retries that
+	// count; a few failures are part of any service.
+	failingFrom = 0.1
 	// awayPart and awayTime make a server in another failure domain look
 	// slower, by a part of its run time and by a round trip, so that traffic
 	// stays at home while that costs the caller nothing.
@@ -30,6 +38,8 @@
 	since  int // offers since the last report
 	open   int // offers that have not ended
 	told   time.Time
+	// failures is the part of recent answers that were failures.
+	failures float64
 }
 
 // cost estimates how long a request would take at the server: its run time,
@@ -61,7 +71,19 @@
 	if !s.home {
 		run += run/awayPart + awayTime
 	}
-	return time.Duration(float64(run) / free)
+	good := max(leastGood, 1-s.failing(now))
+	return time.Duration(float64(run) / (free * good * good))
+}
+
+// failing returns the part of requests that the server is expected to fail.
+func (s *server) failing(now time.Time) float64 {
+	return force(now.Sub(s.told), fresh, forgiven) * s.failures
+}
+
+// retries returns how many retries have to be there for one more request: a
+// whole one, and those to be expected for the offers that are open.
+func (s *server) retries(now time.Time) float64 {
+	return 1 + s.failing(now)*float64(s.open)
 }
 
 // force returns the part of what was told that still counts at an age: all
