Run loads under virtual time from the command line

Change: "lab overload FILE" prints what is earned under a pattern beside its limit; the limit of a pattern is part of package overload, and bad patterns are refused. A slow server takes its part of the speed from the limit, a grey one what the retry budget of a fifth does not bear.

--- a/internal/lab/overload/client.go
+++ b/internal/lab/overload/client.go
@@ -22,14 +22,10 @@
 
 // startClients lets requests of a class arrive at random times.
 func (w *World) startClients(c *class) {
-	load := w.pattern.Load
-	if load == 0 {
-		load = 1
-	}
 	if c.Rate == 0 {
 		return
 	}
-	mean := float64(time.Second) / (c.Rate * load)
+	mean := float64(time.Second) / (c.Rate * w.pattern.load())
 	var next func()
 	next = func() {
 		w.arrive(&request{class: c, at: w.nodes[w.random.IntN(len(w.nodes))], start: w.Now()})
--- a/internal/lab/overload/world.go
+++ b/internal/lab/overload/world.go
@@ -20,23 +20,6 @@
 	defaultObjective = time.Second
 )
 
-// Pattern says what makes a load hard. The zero value is a calm one.
-type Pattern struct {
-	// Load is the rate of new requests in parts of the stated one; 0 counts as 1.
-	Load float64
-	// Returns is how often a client sends a request again after a refusal or a
-	// failure; 0 counts as once.
-	Returns int
-	// Hard clients come back after 50 ms, whatever they were told.
-	Hard bool
-	// Slow is the service one of whose servers takes SlowBy times as long.
-	Slow   string
-	SlowBy float64
-	// Grey is the service one of whose servers sheds a part of what it gets.
-	Grey string
-	Shed float64
-}
-
 // World is a deployment with its clients under virtual time. It is not safe for
 // concurrent use.
 type World struct {
@@ -61,8 +44,12 @@
 }
 
 // New returns the deployment of a scenario, each server with a node. It returns
-// an *importance.NameError for a class of an unknown importance.
+// a *PatternError for a pattern that does not fit, or an *importance.NameError
+// for a class of an unknown importance.
 func New(s *optimum.Scenario, p Pattern, seed uint64) (*World, error) {
+	if err := p.check(s); err != nil {
+		return nil, err
+	}
 	w := &World{
 		Timeline: timeline.New(time.Date(2026, time.January, 5, 8, 0, 0, 0, time.UTC)),
 		scenario: s, pattern: p, random: rand.New(rand.NewPCG(seed, seed)),
--- a/internal/lab/overload/world_test.go
+++ b/internal/lab/overload/world_test.go
@@ -34,35 +34,6 @@
 	"all of them":  {Load: burst, Returns: 3, Hard: true, Slow: "calendars", SlowBy: 4, Grey: "proofs", Shed: 0.2},
 }
 
-// budget is the retry budget of a service, as a part of its requests.
-const budget = 0.2
-
-// capacity returns the part of the capacity of n servers that is left when one
-// of them sheds a part of its requests. What it sheds costs no time but a retry,
-// so it serves (1-shed)/shed requests for each retry that the budget allows.
-func capacity(servers int, shed float64) float64 {
-	n := float64(servers)
-	return min(1, (n-1)/n/(1-budget*(1-shed)/shed))
-}
-
-// limit returns the greatest worth that the slots and the retry budget allow
-// under a pattern. A slow server has only a part of its speed.
-func limit(t *testing.T, s optimum.Scenario, p overload.Pattern) float64 {
-	t.Helper()
-	services := append([]optimum.Service(nil), s.Services...)
-	for i := range services {
-		if v := &services[i]; v.Name == p.Slow {
-			v.Speed = (float64(v.Servers-1) + 1/p.SlowBy) / float64(v.Servers)
-		} else if v.Name == p.Grey {
-			v.Speed = capacity(v.Servers, p.Shed)
-		}
-	}
-	s.Services = services
-	o, err := optimum.Solve(&s, max(1, p.Load))
-	require.NoError(t, err)
-	return o.Worth()
-}
-
 // Guards against work in vain, refusals in the wrong order, queues that outlast
 // the objective and retries that add to the load: of what the bottleneck
 // allows, 95% is earned under each pattern, at 13 and at 91 instances.
@@ -78,7 +49,9 @@
 				w.Run(warmUp)
 				w.Reset()
 				w.Run(measured)
-				f, most := w.Figures(), limit(t, s, p)
+				most, err := p.Limit(&s)
+				require.NoError(t, err)
+				f := w.Figures()
 				t.Logf("worth %.3f of %.3f (%.3f), late %.3f, refused %.3f, runs wasted %.3f",
 					f.Worth(), most, f.Worth()/most, f.Late(), f.Refused(), f.Wasted())
 				require.Greater(t, f.Worth(), least*most)
@@ -86,3 +59,41 @@
 		}
 	}
 }
+
+// Guards against a limit that a slow or a grey server does not lower, and
+// against one that counts more retries than the budget has: with half of a
+// third of the servers shed and a budget of a fifth, 2.5 of 3 servers are left.
+func TestLimitOfPatterns(t *testing.T) {
+	s := &optimum.Scenario{
+		Services: []optimum.Service{{Name: "calendars", Servers: 3, Slots: 10}},
+		Classes:  []optimum.Class{{Name: "check", Service: "calendars", Work: 100, Rate: 300, Worth: 1}},
+	}
+	for want, p := range map[float64]overload.Pattern{
+		1:         {},
+		0.5:       {Load: 2},
+		0.75:      {Slow: "calendars", SlowBy: 4},
+		2.5 / 3.0: {Grey: "calendars", Shed: 0.5},
+	} {
+		got, err := p.Limit(s)
+		require.NoError(t, err)
+		require.InDelta(t, want, got, 1e-9)
+	}
+}
+
+// Guards against patterns that name no service or make no sense.
+func TestBadPatternsAreRefused(t *testing.T) {
+	s := &optimum.Scenario{Services: []optimum.Service{{Name: "calendars", Servers: 1, Slots: 1}}}
+	for reason, p := range map[string]overload.Pattern{
+		"load":                  {Load: -1},
+		"returns":               {Returns: -1},
+		"unknown service proof": {Slow: "proof", SlowBy: 2},
+		"unknown service check": {Grey: "check"},
+		"slow-by":               {Slow: "calendars", SlowBy: 0.5},
+		"shed":                  {Grey: "calendars", Shed: 1},
+	} {
+		_, err := overload.New(s, p, 1)
+		var wrong *overload.PatternError
+		require.ErrorAs(t, err, &wrong)
+		require.ErrorContains(t, err, reason)
+	}
+}
--- /dev/null
+++ b/internal/lab/program/overload.go
@@ -0,0 +1,87 @@
+package program
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"github.com/papayapath/papayapath/internal/document"
+	"github.com/papayapath/papayapath/internal/lab/optimum"
+	"github.com/papayapath/papayapath/internal/lab/overload"
+)
+
+// overloadCommand runs a load under virtual time beside its limit.
+type overloadCommand struct {
+	pattern  overload.Pattern
+	seed     uint64
+	warmUp   time.Duration
+	measured time.Duration
+}
+
+// Name returns the name of the subcommand.
+func (*overloadCommand) Name() string { return "overload" }
+
+// Synopsis describes the subcommand in one line.
+func (*overloadCommand) Synopsis() string {
+	return "run a load under virtual time and compare its worth with the limit"
+}
+
+// Usage describes the arguments.
+func (*overloadCommand) Usage() string {
+	return "overload [flags] FILE\n" +
+		"Read a deployment with its classes of requests from FILE, as \"lab limit\" does, run it\n" +
+		"with the decisions of nodes on the platform, and print what is earned beside the limit.\n"
+}
+
+// SetFlags declares the arguments.
+func (c *overloadCommand) SetFlags(f *flag.FlagSet) {
+	f.Float64Var(&c.pattern.Load, "load", 1, "load relative to the stated rates")
+	f.IntVar(&c.pattern.Returns, "returns", 1, "how often a client comes back")
+	f.BoolVar(&c.pattern.Hard, "hard", false, "clients come back at once")
+	f.StringVar(&c.pattern.Slow, "slow", "", "service with a slow server")
+	f.Float64Var(&c.pattern.SlowBy, "slow-by", 4, "how many times as long the slow server takes")
+	f.StringVar(&c.pattern.Grey, "grey", "", "service with a server that sheds requests")
+	f.Float64Var(&c.pattern.Shed, "shed", 0.5, "part of the requests that it sheds")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of all random choices")
+	f.DurationVar(&c.warmUp, "warm-up", 5*time.Second, "virtual time before anything counts")
+	f.DurationVar(&c.measured, "time", 15*time.Second, "virtual time that counts")
+}
+
+// Execute runs the load.
+func (c *overloadCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	return status(c.run(f.Args()))
+}
+
+func (c *overloadCommand) run(files []string) error {
+	switch {
+	case len(files) != 1:
+		return &usageError{flag: "FILE", reason: "one scenario file is needed"}
+	case c.pattern.Load <= 0:
+		return &usageError{flag: "load", reason: "must be positive"}
+	case c.warmUp < 0 || c.measured <= 0:
+		return &usageError{flag: "time", reason: "must be positive"}
+	}
+	s, err := document.Load[optimum.Scenario](files[0])
+	if err != nil {
+		return err
+	}
+	most, err := c.pattern.Limit(&s)
+	if err != nil {
+		return err
+	}
+	w, err := overload.New(&s, c.pattern, c.seed)
+	if err != nil {
+		return err
+	}
+	w.Run(c.warmUp)
+	w.Reset()
+	w.Run(c.measured)
+	figures := w.Figures()
+	_, err = fmt.Fprintf(os.Stdout, "worth %.3f, limit %.3f, part %.3f\nlate %.3f, refused %.3f, runs wasted %.3f\n",
+		figures.Worth(), most, figures.Worth()/most, figures.Late(), figures.Refused(), figures.Wasted())
+	return err
+}
