Let stopping nodes take offers of other nodes for 1.5 s

The others stop sending at once, though the node lives on for 2.5 s and its server all the while, so the rest is full (656 with running at limit 29).

Change: a stopping node says so to other nodes only after 1.5 s.

TestStoppingNodeServesOtherNodesAtFirst fails without the change.

--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -16,6 +16,10 @@
 	// leaveTime is how long a stopping node goes on as before: clients get
 	// elsewhere after two failed readiness checks, a second apart.
 	leaveTime = 2500 * time.Millisecond
+	// offerTime is how long a stopping node goes on taking offers of other
+	// nodes: its server is there all the while, and is missed where few serve.
+	// It ends before leaveTime, so that as a rule no run is left then.
+	offerTime = 1500 * time.Millisecond
 	// lastMoment is the time before the end of the grace period at which a
 	// stopping node exits although requests are open. It covers the end of the
 	// process itself.
@@ -110,9 +114,8 @@
 func (n *Node) drain() {
 	start := time.Now()
 	n.mu.Lock()
-	n.stopping, n.self.Stopping = true, true
+	n.stopping = true
 	n.closing = start.Add(leaveTime)
-	n.announce(start)
 	n.mu.Unlock()
 	n.journal.Write(event.Stopping, logrus.Fields{"grace_ms": n.env.Grace.Milliseconds(), "requests": n.clients.Busy()})
 	n.clients.Stop()
@@ -121,6 +124,10 @@
 		now := time.Now()
 		age := now.Sub(start)
 		n.mu.Lock()
+		if age > offerTime && !n.self.Stopping {
+			n.self.Stopping = true
+			n.announce(now)
+		}
 		runs := len(n.runs)
 		n.mu.Unlock()
 		idle := runs == 0 && n.clients.Busy() == 0
