Keep the retry budget without traced calls

Change: as long as no node has traced a call, a repeated run is taken to call each other service eight times, and windows refuse nothing.

TestUntracedCallsStayWithinTheBudget fails without the change.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -129,11 +129,15 @@
 	}
 	n.allowance(c.service).Request(now)
 	w := n.window(c.key, c.route)
-	if !w.Admit(now) {
+	switch {
+	case w.Admit(now):
+		c.window = w
+	case n.traced:
 		c.full = w
 		return outcome.Overload
 	}
-	c.window = w
+	// Where no call was ever traced to its run, this may be a call of a request
+	// that was admitted elsewhere, and refusing it would waste the work on it.
 	return outcome.None
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -94,6 +94,7 @@
 	roster     *roster.Roster
 	rostered   uint64 // changes of the registry that the roster holds
 	spreads    map[message.Route][]frame.Share
+	traced     bool                     // some node has traced a call to its run
 	services   map[message.Route]string // of the calls that the own server makes
 	allowances map[string]*allowance.Allowance
 	quarantine *quarantine.Quarantine
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -22,6 +22,9 @@
 	margin = 10 * time.Millisecond
 	// maxOffers bounds the nodes to which one request is offered.
 	maxOffers = 4
+	// assumedCalls is how often a run is taken to call each other service while
+	// nothing is known: the most that requests of both deployments do.
+	assumedCalls = 8
 )
 
 // result is what became of an offer.
@@ -161,6 +164,7 @@
 	}
 	if a.HasSpread {
 		n.spreads[p.call.key] = a.Spread
+		n.traced = n.traced || len(a.Spread) > 0
 	}
 	n.mu.Unlock()
 	p.call.results <- result{answer: *a, body: body}
@@ -236,6 +240,9 @@
 	costs := []frame.Share{{Service: c.service, Calls: 1}}
 	if !notRun {
 		spread, ok := n.spreads[c.key]
+		if !n.traced {
+			spread, ok = n.assumedSpread(c.service), true
+		}
 		if !ok {
 			return false
 		}
@@ -252,3 +259,16 @@
 	}
 	return true
 }
+
+// assumedSpread returns the calls that a run is taken to cause while no node has
+// traced a call to its run. Without it, the calls of repeated runs would go
+// beyond the budgets unseen where calls cannot be traced.
+func (n *Node) assumedSpread(own string) []frame.Share {
+	var all []frame.Share
+	for _, service := range n.roster.Services() {
+		if service != own {
+			all = append(all, frame.Share{Service: service, Calls: assumedCalls})
+		}
+	}
+	return all
+}
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,6 +1,10 @@
 package roster
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Candidate is a node whose backend server takes requests of a service.
 type Candidate struct {
@@ -79,6 +83,9 @@
 	s.told = now
 }
 
+// Services returns the services with servers that can be chosen, in order.
+func (r *Roster) Services() []string { return slices.Sorted(maps.Keys(r.services)) }
+
 // Open returns the number of offers to a node that have not ended.
 func (r *Roster) Open(node string) int {
 	if s := r.servers[node]; s != nil {
