Let stopping nodes take offers until their own clients are done

Change: a stopping node tells others that it takes no offers when requests of its own clients have ended, or shortly before the end of the grace period: 0.4 s and eight run times of its server, 2 s at most. It exits 0.1 s later, when nothing runs.

TestStoppingNodeServesWhileItHasToStay fails without the change.

--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -16,10 +16,16 @@
 	// leaveTime is how long a stopping node goes on as before: clients get
 	// elsewhere after two failed readiness checks, a second apart.
 	leaveTime = 2500 * time.Millisecond
-	// offerTime is how long a stopping node goes on taking offers of other
-	// nodes: its server is there all the while, and is missed where few serve.
-	// It ends before leaveTime, so that as a rule no run is left then.
-	offerTime = 1500 * time.Millisecond
+	// A stopping node takes no offers of other nodes in the last moments of the
+	// grace period, so that those it has taken end in time: for queueTime, which
+	// covers a queue under overload, and runTimes mean run times, but for
+	// endTime at most.
+	queueTime = 400 * time.Millisecond
+	runTimes  = 8
+	endTime   = 2 * time.Second
+	// noticeTime is the time from the last offer that other nodes may send to
+	// its arrival, several times the way between failure domains.
+	noticeTime = 100 * time.Millisecond
 	// lastMoment is the time before the end of the grace period at which a
 	// stopping node exits although requests are open. It covers the end of the
 	// process itself.
@@ -110,7 +116,9 @@
 	}
 }
 
-// drain ends the node without cutting requests.
+// drain ends the node without cutting requests. As long as requests of its own
+// clients keep it, its server takes offers of other nodes: it is missed where
+// few serve, and those requests may wait for just that server.
 func (n *Node) drain() {
 	start := time.Now()
 	n.mu.Lock()
@@ -119,21 +127,39 @@
 	n.mu.Unlock()
 	n.journal.Write(event.Stopping, logrus.Fields{"grace_ms": n.env.Grace.Milliseconds(), "requests": n.clients.Busy()})
 	n.clients.Stop()
+	last := start.Add(n.env.Grace - lastMoment)
 	for {
 		time.Sleep(stopCheck)
 		now := time.Now()
-		age := now.Sub(start)
 		n.mu.Lock()
-		if age > offerTime && !n.self.Stopping {
-			n.self.Stopping = true
-			n.announce(now)
-		}
 		runs := len(n.runs)
+		ending := min(endTime, queueTime+runTimes*n.runner.Time(now))
 		n.mu.Unlock()
-		idle := runs == 0 && n.clients.Busy() == 0
-		if age > leaveTime && idle || age > n.env.Grace-lastMoment {
+		busy := n.clients.Busy()
+		if now.After(n.closing) && busy == 0 || now.After(last.Add(-ending)) {
+			n.announceStop(now)
+		}
+		if n.told(now) && runs == 0 && busy == 0 || now.After(last) {
 			n.clients.CloseIdle()
 			return
 		}
 	}
 }
+
+// announceStop tells the other nodes once that this one takes no offers.
+func (n *Node) announceStop(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.self.Stopping {
+		n.self.Stopping, n.leaving = true, now
+		n.announce(now)
+	}
+}
+
+// told reports whether the other nodes know that this one takes no offers, and
+// those that were on their way have arrived.
+func (n *Node) told(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.self.Stopping && now.Sub(n.leaving) > noticeTime
+}
