End the runs of a stopping node before it exits

Change: offers of other nodes end eight mean run times of the server, and 0.4 s, before the exit, but not before 1.5 s after SIGTERM; calls of runs that begin in the last 0.4 s are refused as not run.

--- a/internal/sidecar/entry.go
+++ b/internal/sidecar/entry.go
@@ -102,7 +102,8 @@
 }
 
 // admit decides whether a request is begun. Calls of the own server's runs
-// belong to requests that were admitted before, and always are. They have the
+// belong to requests that were admitted before, and are begun unless the process
+// is about to end. They have the
 // priority of these, whatever that of their own route: a call for a less
 // important request must not take the place of a more important request.
 func (n *Node) admit(c *call) outcome.Reason {
@@ -115,6 +116,9 @@
 	if n.quarantine.Check(now, quarantine.Request{Customer: n.env.Service, Content: c.offer.Content}) == quarantine.Refuse {
 		return outcome.Suspect
 	}
+	if n.stopping && now.After(n.lastCall) {
+		return outcome.Draining
+	}
 	if parent := n.parent(c.id); parent != nil {
 		c.offer.Inner = true
 		c.parent = parent
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -18,11 +18,14 @@
 	leaveTime = 2500 * time.Millisecond
 	// A stopping node takes no offers of other nodes in the last moments of the
 	// grace period, so that those it has taken end in time: for queueTime, which
-	// covers a queue under overload, and runTimes mean run times, but for
-	// endTime at most.
+	// covers a queue under overload, and runTimes mean run times, but not
+	// before offerTime.
 	queueTime = 400 * time.Millisecond
 	runTimes  = 8
-	endTime   = 2 * time.Second
+	offerTime = 1500 * time.Millisecond
+	// callTime is the time before the end at which calls of the own server's
+	// runs are refused: the process would end before their answers.
+	callTime = 400 * time.Millisecond
 	// noticeTime is the time from the last offer that other nodes may send to
 	// its arrival, several times the way between failure domains.
 	noticeTime = 100 * time.Millisecond
@@ -124,19 +127,21 @@
 	n.mu.Lock()
 	n.stopping = true
 	n.closing = start.Add(leaveTime)
+	last := start.Add(n.env.Grace - lastMoment)
+	n.lastCall = last.Add(-callTime)
 	n.mu.Unlock()
 	n.journal.Write(event.Stopping, logrus.Fields{"grace_ms": n.env.Grace.Milliseconds(), "requests": n.clients.Busy()})
 	n.clients.Stop()
-	last := start.Add(n.env.Grace - lastMoment)
 	for {
 		time.Sleep(stopCheck)
 		now := time.Now()
 		n.mu.Lock()
 		runs := len(n.runs)
-		ending := min(endTime, queueTime+runTimes*n.runner.Time(now))
+		ending := last.Add(-queueTime - runTimes*n.runner.Mean())
 		n.mu.Unlock()
 		busy := n.clients.Busy()
-		if now.After(n.closing) && busy == 0 || now.After(last.Add(-ending)) {
+		age := now.Sub(start)
+		if age > leaveTime && busy == 0 || age > offerTime && now.After(ending) {
 			n.announceStop(now)
 		}
 		if n.told(now) && runs == 0 && busy == 0 || now.After(last) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -105,6 +105,7 @@
 	expiring   bool
 	stopping   bool
 	closing    time.Time // if stopping, from when on no request is begun
+	lastCall   time.Time // if stopping, from when on no call of a run is begun
 	leaving    time.Time // when other nodes were told to send no offers
 	blind      bool      // the log cannot be read
 	publish    chan struct{}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -185,6 +185,9 @@
 // Queued returns the number of requests that wait.
 func (r *Runner[T]) Queued() int { return r.queue.Len() }
 
+// Mean returns the mean run time of recent requests, or 0 if none has ended.
+func (r *Runner[T]) Mean() time.Duration { return r.mean }
+
 // Time returns how long a request takes at the server: the mean of recent runs,
 // or the mean age of the requests that run now if that is longer, since a server
 // that has turned slow shows so before its runs end.
