Exchange only the buckets of the registry that differ

Cause: on each new link both nodes sent a digest, and a differing one was answered with all entries, twice. When n nodes start together that is about 2n entries on each of n(n-1) links, so the bytes grow with the cube of n. The fingerprint hashes node, incarnation and revision together. An entry that replaces one of a leaving backend server is answered with the replaced one. The metrics state the bytes sent by kind of frame. TestDigestOfEqualChangesDiffers fails on the code before.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -28,6 +28,7 @@
 	conn           net.Conn
 	address        string // of the other node; empty for an accepted connection
 	framesReceived atomic.Uint64
+	traffic        *Traffic
 
 	mu            sync.Mutex
 	pending       []byte // encoded frames that are not yet written
@@ -37,7 +38,9 @@
 	writeDeadline time.Time // accessed only by the flushing goroutine
 }
 
-func newLink(conn net.Conn, address string) *Link { return &Link{conn: conn, address: address} }
+func newLink(conn net.Conn, address string, t *Traffic) *Link {
+	return &Link{conn: conn, address: address, traffic: t}
+}
 
 // Address returns the address that was dialed, or "" for a link that the other
 // node opened.
@@ -57,6 +60,7 @@
 		l.mu.Unlock()
 		return false
 	}
+	l.traffic.add(kind, len(pending)-len(l.pending))
 	l.pending = pending
 	if l.flushing {
 		l.mu.Unlock()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -47,6 +47,7 @@
 // use.
 type Mesh struct {
 	handler Handler
+	traffic Traffic
 
 	mu       sync.Mutex
 	targets  map[string]context.CancelFunc
@@ -118,6 +119,9 @@
 	return all
 }
 
+// Traffic returns the counters of the bytes sent to other nodes.
+func (m *Mesh) Traffic() *Traffic { return &m.traffic }
+
 // maintain connects to address, and reconnects when the link ends, until ctx is
 // done.
 func (m *Mesh) maintain(ctx context.Context, address string) {
@@ -126,7 +130,7 @@
 		conn, err := socket.Dial(ctx, address, dialTimeout)
 		if err == nil {
 			delay, failingSince = minReconnectDelay, time.Time{}
-			m.serveOutbound(newLink(conn, address))
+			m.serveOutbound(newLink(conn, address, &m.traffic))
 			continue
 		}
 		if failingSince.IsZero() {
@@ -165,7 +169,7 @@
 		if err != nil {
 			return err
 		}
-		l := newLink(conn, "")
+		l := newLink(conn, "", &m.traffic)
 		m.mu.Lock()
 		closed := m.closed
 		m.inbound[l] = struct{}{}
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -33,19 +33,27 @@
 	logReadersPerDomain = 2
 )
 
-// LinkUp sends the local entry, the digest and known suspicions over a new link.
+// LinkUp sends the local entry, the configuration version and known suspicions
+// over a new link. It also sends the entry of the other node, which may have been
+// restarted and have to learn what its predecessor announced. The entries of
+// third nodes follow with the periodic comparison: exchanging them on each link
+// would make the bytes of a start grow with the cube of the number of nodes.
 func (n *Node) LinkUp(l *peer.Link) {
 	n.journal.WriteSampled(time.Now(), event.LinkOpened, func() logrus.Fields {
 		return logrus.Fields{"node": l.Address()}
 	})
 	n.mu.Lock()
-	self, digest := n.self, n.digest()
+	digest := frame.Digest{Version: n.digest().Version}
+	entries := []registry.Entry{n.self}
+	if e, ok := n.registry.Get(l.Address()); ok {
+		entries = append(entries, e)
+	}
 	suspicions := n.quarantine.Snapshot(time.Now(), nil)
 	n.mu.Unlock()
 	if len(suspicions) > 0 {
 		peer.Send(l, frame.KindSuspicions, frame.Suspicions{Suspicions: suspicions}, nil)
 	}
-	peer.Send(l, frame.KindEntries, frame.Entries{Entries: []registry.Entry{self}}, nil)
+	peer.Send(l, frame.KindEntries, frame.Entries{Entries: entries}, nil)
 	peer.Send(l, frame.KindDigest, digest, nil)
 }
 
@@ -119,7 +127,17 @@
 	case frame.KindEntries:
 		var e frame.Entries
 		if e, err = message.Decode[frame.Entries](head); err == nil {
-			n.handleEntries(now, l, e)
+			n.handleEntries(now, l, e.Entries)
+		}
+	case frame.KindSummary:
+		var m frame.Summary
+		if m, err = message.Decode[frame.Summary](head); err == nil {
+			n.handleSummary(l, m)
+		}
+	case frame.KindBuckets:
+		var b frame.Buckets
+		if b, err = message.Decode[frame.Buckets](head); err == nil {
+			n.handleBuckets(now, l, b)
 		}
 	case frame.KindDigest:
 		var d frame.Digest
@@ -153,50 +171,79 @@
 	return d
 }
 
-// reconcile compares the digest of another node with the local one. It sends the
-// node entries if they differ, and sends or requests the newer configuration.
+// reconcile compares the digest of another node with the local one. It sends a
+// summary of the registry if the entries differ, and sends or requests the newer
+// configuration.
 func (n *Node) reconcile(now time.Time, l *peer.Link, d frame.Digest) {
 	n.mu.Lock()
 	local := n.digest()
 	rawConfiguration := n.rawConfiguration
-	var all []registry.Entry
-	if local.Entries != d.Entries {
-		all = n.registry.All()
+	var summary []uint64
+	if d.Entries != 0 && local.Entries != d.Entries {
+		summary = n.registry.Summary()
 	}
 	request := d.Version > local.Version && (d.Version != n.requestedVersion || now.Sub(n.requestedAt) > configurationRequestInterval)
 	if request {
 		n.requestedVersion, n.requestedAt = d.Version, now
 	}
 	n.mu.Unlock()
-	if all != nil {
-		peer.Send(l, frame.KindEntries, frame.Entries{Entries: all, Reply: true}, nil)
+	if summary != nil {
+		peer.Send(l, frame.KindSummary, frame.Summary{Buckets: summary}, nil)
 	}
 	switch {
 	case request:
-		peer.Send(l, frame.KindDigest, frame.Digest{Entries: d.Entries, Version: local.Version}, nil)
+		peer.Send(l, frame.KindDigest, frame.Digest{Version: local.Version}, nil)
 	case d.Version < local.Version:
 		peer.Send(l, frame.KindConfiguration, frame.Configuration{Version: local.Version}, rawConfiguration)
 	}
 }
 
-// handleEntries merges node entries received over a link and, if requested, sends
-// back the local ones when they differ.
-func (n *Node) handleEntries(now time.Time, l *peer.Link, e frame.Entries) {
+// handleSummary sends the local entries of the buckets that differ from those of
+// another node.
+func (n *Node) handleSummary(l *peer.Link, m frame.Summary) {
 	n.mu.Lock()
-	differs := n.mergeEntries(now, e.Entries)
-	var all []registry.Entry
-	if e.Reply && differs {
-		all = n.registry.All()
+	buckets := n.registry.Differing(m.Buckets)
+	entries := n.registry.InBuckets(buckets)
+	n.mu.Unlock()
+	if len(buckets) > 0 {
+		peer.Send(l, frame.KindBuckets, frame.Buckets{Buckets: buckets, Entries: entries}, nil)
 	}
+}
+
+// handleBuckets merges the entries of some buckets and returns those that the
+// sender lacks.
+func (n *Node) handleBuckets(now time.Time, l *peer.Link, b frame.Buckets) {
+	n.mu.Lock()
+	n.mergeEntries(now, b.Entries)
+	newer := n.registry.NewerThan(b.Entries, b.Buckets)
 	n.mu.Unlock()
-	if all != nil {
-		peer.Send(l, frame.KindEntries, frame.Entries{Entries: all}, nil)
+	if len(newer) > 0 {
+		peer.Send(l, frame.KindEntries, frame.Entries{Entries: newer}, nil)
 	}
 }
 
-// mergeEntries merges entries into the registry. It reports whether the merged
-// registry differs from the given entries.
-func (n *Node) mergeEntries(now time.Time, entries []registry.Entry) bool {
+// handleEntries merges node entries received over a link. An entry of the sender
+// that replaces one of its predecessor, whose backend server was leaving, is
+// answered with the replaced one: the sender does not know of the leave.
+func (n *Node) handleEntries(now time.Time, l *peer.Link, entries []registry.Entry) {
+	n.mu.Lock()
+	var leaving []registry.Entry
+	for _, e := range entries {
+		old, ok := n.registry.Get(e.Node)
+		if ok && old.State == readiness.Draining && e.Incarnation > old.Incarnation && e.State != readiness.Draining {
+			leaving = append(leaving, old)
+		}
+	}
+	n.mergeEntries(now, entries)
+	n.mu.Unlock()
+	if len(leaving) > 0 {
+		peer.Send(l, frame.KindEntries, frame.Entries{Entries: leaving}, nil)
+	}
+}
+
+// mergeEntries merges entries into the registry and connects to new nodes. The
+// caller must hold n.mu.
+func (n *Node) mergeEntries(now time.Time, entries []registry.Entry) {
 	for _, e := range entries {
 		if e.Node == n.self.Node {
 			n.refute(now, e)
@@ -206,11 +253,6 @@
 			n.mesh.Connect(n.ctx, e.Node)
 		}
 	}
-	received := registry.New()
-	for _, e := range entries {
-		received.Merge(now, e)
-	}
-	return received.Digest() != n.registry.Digest()
 }
 
 // refute overrides an entry that an earlier process published under the local
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -7,6 +7,8 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/pkg/frame"
 )
 
 const (
@@ -96,6 +98,9 @@
 	line("server_connections", int64(open))
 	line("server_connections_opened", int64(dialed))
 	line("server_connections_reused", int64(reused))
+	for k := frame.Kind(1); k < frame.KindCount; k++ {
+		line("peer_bytes_sent_"+k.String(), int64(n.mesh.Traffic().Sent(k)))
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	line("server_running", int64(n.runner.Running()))
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -27,8 +27,24 @@
 	KindPing                          // Ping
 	KindPong                          // Ping
 	KindSuspicions                    // Suspicions
+	KindSummary                       // Summary
+	KindBuckets                       // Buckets
+	KindCount                         // number of kinds, including the unused zero
 )
 
+// kindNames are the names of the kinds in metrics.
+var kindNames = [KindCount]string{
+	"invalid", "offer", "answer", "cancel", "entries", "digest", "configuration", "ping", "pong", "suspicions", "summary", "buckets",
+}
+
+// String returns the name of the kind.
+func (k Kind) String() string {
+	if k >= KindCount {
+		return kindNames[0]
+	}
+	return kindNames[k]
+}
+
 const (
 	// lengthBytes is the size of the length field before each frame.
 	lengthBytes = 4
@@ -93,17 +109,31 @@
 type Entries struct {
 	_       struct{} `cbor:",toarray"`
 	Entries []registry.Entry
-	Reply   bool // the receiver sends its own entries if they differ
 }
 
 // Digest summarizes the state of the sender, so that the receiver detects
 // differences.
 type Digest struct {
 	_       struct{} `cbor:",toarray"`
-	Entries uint64   // digest of the registry
+	Entries uint64   // digest of the registry, or 0 to compare only the version
 	Version uint64   // configuration version, or 0 if there is none
 }
 
+// Summary answers a digest that differs from that of the sender. The receiver
+// finds the buckets that differ and sends them as Buckets.
+type Summary struct {
+	_       struct{} `cbor:",toarray"`
+	Buckets []uint64 // digest of each bucket of the registry
+}
+
+// Buckets holds all entries that the sender has in some buckets of the registry.
+// The receiver returns, as Entries, those that the sender lacks.
+type Buckets struct {
+	_       struct{} `cbor:",toarray"`
+	Buckets []int
+	Entries []registry.Entry
+}
+
 // Configuration disseminates the newest configuration, which is the body.
 type Configuration struct {
 	_       struct{} `cbor:",toarray"`
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"encoding/binary"
 	"slices"
 	"strings"
 	"time"
@@ -39,10 +40,15 @@
 	return e.Service == service && e.State == readiness.Ready && !e.Stopping
 }
 
-// fingerprint returns a hash of the node, incarnation and revision.
+// fingerprint returns a hash of the node, incarnation and revision. The three are
+// hashed together: if the revision entered by an exclusive or, the same change of
+// two entries would cancel out in the digest of a registry.
 func (e Entry) fingerprint() uint64 {
-	h := xxhash.Sum64String(e.Node)
-	return h ^ uint64(e.Incarnation)*0x9E3779B185EBCA87 ^ e.Revision*0xC2B2AE3D27D4EB4F
+	data := make([]byte, 0, 64)
+	data = append(data, e.Node...)
+	data = binary.BigEndian.AppendUint64(data, uint64(e.Incarnation))
+	data = binary.BigEndian.AppendUint64(data, e.Revision)
+	return xxhash.Sum64(data)
 }
 
 // Registry holds the newest entry of each node. It is not safe for concurrent
@@ -50,7 +56,7 @@
 type Registry struct {
 	entries map[string]Entry
 	removed map[string]removal
-	digest  uint64
+	buckets [summaryBuckets]uint64 // digest of the entries of each bucket
 	changes uint64
 }
 
@@ -82,10 +88,11 @@
 	if ok && !e.Newer(old) {
 		return false
 	}
+	b := &r.buckets[bucket(e.Node)]
 	if ok {
-		r.digest ^= old.fingerprint()
+		*b ^= old.fingerprint()
 	}
-	r.digest ^= e.fingerprint()
+	*b ^= e.fingerprint()
 	r.entries[e.Node] = e
 	r.changes++
 	return true
@@ -97,7 +104,7 @@
 	if !ok {
 		return
 	}
-	r.digest ^= e.fingerprint()
+	r.buckets[bucket(node)] ^= e.fingerprint()
 	delete(r.entries, node)
 	r.removed[node] = removal{entry: e, at: now}
 	r.changes++
@@ -114,7 +121,13 @@
 
 // Digest returns a hash of all entries. Registries with the same entries have
 // the same digest.
-func (r *Registry) Digest() uint64 { return r.digest }
+func (r *Registry) Digest() uint64 {
+	var digest uint64
+	for _, b := range r.buckets {
+		digest ^= b
+	}
+	return digest
+}
 
 // Changes returns a counter that grows with each change, for invalidating
 // caches of derived data.
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -66,3 +66,14 @@
 	e.State = readiness.Draining
 	require.False(t, e.Accepts("s"))
 }
+
+// Guards against the same change of two entries that cancels out in the digest,
+// so that nodes with different registries never compare them.
+func TestDigestOfEqualChangesDiffers(t *testing.T) {
+	a, b := registry.New(), registry.New()
+	for _, node := range []string{"a", "b"} {
+		a.Merge(start, registry.Entry{Node: node, Incarnation: 1, Revision: 3})
+		b.Merge(start, registry.Entry{Node: node, Incarnation: 1, Revision: 5})
+	}
+	require.NotEqual(t, a.Digest(), b.Digest())
+}
