Read responses of backend servers within bounds

Cause: a response with two lengths, or with a length and chunks, counted as complete; a chunk extension without end was read until the deadline at 80 MB a second; an announced length was allocated before its bytes; a late second copy of a response matched a later request with the same id on the same connection, so its caller got an answer that was not its own. Change: the header section is checked by the framing check that requests have (now internal/framing); bodies grow with what arrives (pkg/payload, shared with frames), chunks are read by the standard library's bounded reader, trailers and interim responses have bounds; a connection carries no second request with an id that it has carried.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/pkg/routing"
 )
 
@@ -122,7 +123,7 @@
 	if err != nil {
 		return err
 	}
-	if err := checkFraming(&req.Header); err != nil {
+	if err := framing.Check(req.Header.RawHeaders()); err != nil {
 		return err
 	}
 	if req.Header.ContentLength() == 0 || req.Header.ContentLength() == -2 {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,6 +27,7 @@
 	net      net.Conn
 	maxIdle  time.Duration
 	lastUsed time.Time // end of the last exchange; written while not idle
+	requests []string  // IDs of the latest requests; written while not idle
 
 	mu       sync.Mutex
 	exchange *Exchange
@@ -56,6 +57,7 @@
 	}
 	// Writes to a connection are serialized, so a request written in a single
 	// call cannot interleave with the next one.
+	c.remember(e.request.ID)
 	c.exchange, c.written = e, len(e.request.Raw) <= maxInlineWrite
 	c.deadline = now.Add(e.request.Timeout + responseGrace)
 	c.mu.Unlock()
@@ -70,6 +72,18 @@
 	}
 }
 
+// maxKnownRequests is the number of requests whose IDs a connection remembers.
+const maxKnownRequests = 8
+
+// remember records the ID of a request that is sent on the connection.
+func (c *conn) remember(id string) {
+	if len(c.requests) == maxKnownRequests {
+		copy(c.requests, c.requests[1:])
+		c.requests = c.requests[:maxKnownRequests-1]
+	}
+	c.requests = append(c.requests, id)
+}
+
 // release returns a connection without an exchange to the pool.
 func (c *conn) release(now time.Time) {
 	c.lastUsed = now
@@ -86,9 +100,8 @@
 // readLoop reads responses until the connection ends.
 func (c *conn) readLoop() {
 	r := bufio.NewReaderSize(c.net, readBufferSize)
-	resp := &fasthttp.Response{}
-	for c.completeNext(r, resp) {
-		resp.Reset()
+	h := &fasthttp.ResponseHeader{}
+	for c.completeNext(r, h) {
 	}
 	c.close()
 	c.pool.remove(c)
@@ -96,7 +109,7 @@
 
 // completeNext waits for a response, completes the exchange and reports whether
 // the connection can be reused.
-func (c *conn) completeNext(r *bufio.Reader, resp *fasthttp.Response) bool {
+func (c *conn) completeNext(r *bufio.Reader, h *fasthttp.ResponseHeader) bool {
 	_, err := r.Peek(1)
 	e := c.current()
 	if e == nil {
@@ -107,7 +120,7 @@
 		c.fail(e, err)
 		return false
 	}
-	a, keep := c.readAnswer(r, resp, e)
+	a, keep := c.readAnswer(r, h, e)
 	c.mu.Lock()
 	keep = keep && c.written && r.Buffered() == 0
 	c.exchange = nil
@@ -164,26 +177,23 @@
 
 // readAnswer reads the response to e and skips late responses to earlier
 // requests.
-func (c *conn) readAnswer(r *bufio.Reader, resp *fasthttp.Response, e *Exchange) (a *Answer, keep bool) {
-	hc := c.pool.codec
+func (c *conn) readAnswer(r *bufio.Reader, h *fasthttp.ResponseHeader, e *Exchange) (a *Answer, keep bool) {
 	for range maxStaleResponses + 1 {
-		resp.Reset()
-		resp.Header.SetNoDefaultContentType(true)
-		resp.SkipBody = e.request.HeadOnly
-		if err := resp.ReadLimitBody(r, c.pool.maxBody); err != nil {
+		body, err := readResponse(r, h, e.request.HeadOnly, c.pool.maxBody)
+		if err != nil {
 			return &Answer{Sent: true, Err: err}, false
 		}
-		if hc.Matches(&resp.Header, e.request.ID) {
-			return c.newAnswer(resp)
+		if c.pool.codec.Matches(h, e.request.ID) {
+			return c.newAnswer(h, body)
 		}
 	}
 	return &Answer{Sent: true, Err: &ResponseError{reason: "belongs to another request"}}, false
 }
 
-// newAnswer validates a complete response and copies what the caller gets. It
-// reports whether the connection can be kept.
-func (c *conn) newAnswer(resp *fasthttp.Response) (a *Answer, keep bool) {
-	hc, h := c.pool.codec, &resp.Header
+// newAnswer validates a complete response and copies the header fields that the
+// caller gets. It reports whether the connection can be kept.
+func (c *conn) newAnswer(h *fasthttp.ResponseHeader, body []byte) (a *Answer, keep bool) {
+	hc := c.pool.codec
 	a = &Answer{Status: h.StatusCode(), Sent: true, NotRun: hc.NotRun(h)}
 	switch {
 	case len(h.ContentEncoding()) > 0:
@@ -195,7 +205,7 @@
 		return a, false
 	}
 	a.Head = hc.AppendResponseHeader(nil, h)
-	a.Body = append([]byte(nil), resp.Body()...)
+	a.Body = body
 	c.maxIdle = keepAliveTimeout(string(h.Peek("Keep-Alive")))
 	return a, !h.ConnectionClose()
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -139,7 +140,7 @@
 // Start sends a request. done is called once, by another goroutine.
 func (p *Pool) Start(now time.Time, r *Request, done func(*Answer)) *Exchange {
 	e := &Exchange{request: r, done: done}
-	c := p.takeIdle(now)
+	c := p.takeIdle(now, r.ID)
 	if c != nil && len(r.Raw) <= maxInlineWrite {
 		c.send(now, e)
 		return e
@@ -180,14 +181,20 @@
 	return c
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil.
-func (p *Pool) takeIdle(now time.Time) *conn {
+// takeIdle removes and returns the most recently used idle connection, or nil. It
+// passes over connections that have carried a request with the same ID: a late
+// second copy of that response would match the new request.
+func (p *Pool) takeIdle(now time.Time, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Sub(c.lastUsed) > c.maxIdle {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		c := p.idle[i]
+		expired := now.Sub(c.lastUsed) > c.maxIdle
+		if !expired && slices.Contains(c.requests, id) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, i, i+1)
+		if expired {
 			c.discard()
 			continue
 		}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -275,3 +275,135 @@
 	}()
 	return ln.Addr().String()
 }
+
+// rawPool returns a pool whose server writes the given bytes after each request,
+// with ID replaced by the ID of the request. If endless, it repeats the last
+// bytes until the connection is closed.
+func rawPool(t *testing.T, response, endless string) *upstream.Pool {
+	p, _ := serve(t, func(_ int, id string, c net.Conn) bool {
+		if _, err := io.WriteString(c, strings.ReplaceAll(response, "ID", id)); err != nil {
+			return false
+		}
+		for endless != "" {
+			if _, err := io.WriteString(c, endless); err != nil {
+				return false
+			}
+		}
+		return false
+	})
+	return p
+}
+
+// Guards against a response that two implementations could delimit differently,
+// and one that breaks off, each taken for a complete success.
+func TestInvalidResponseIsNoSuccess(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: 1\r\n"
+	for name, response := range map[string]string{
+		"two lengths":            head + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde",
+		"two equal lengths":      head + "Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+		"length and chunks":      head + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"signed length":          head + "Content-Length: +3\r\n\r\nabc",
+		"other coding":           head + "Transfer-Encoding: gzip, chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+		"folded line":            head + "X: a\r\n Content-Length: 9\r\nContent-Length: 3\r\n\r\nabc",
+		"short body":             head + "Content-Length: 5\r\n\r\nabc",
+		"missing chunk":          head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+		"cut chunk":              head + "Transfer-Encoding: chunked\r\n\r\n9\r\nabc",
+		"invalid chunk size":     head + "Transfer-Encoding: chunked\r\n\r\n-1\r\nabc\r\n0\r\n\r\n",
+		"cut trailer":            head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y",
+		"body over the limit":    head + "Content-Length: 2000000\r\n\r\n",
+		"no header section":      "abc",
+		"interim responses only": strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 9) + head + "Content-Length: 3\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := do(rawPool(t, response, ""), "a", time.Second)
+			require.Error(t, a.Err)
+			require.True(t, a.Sent)
+			require.False(t, a.NotRun)
+		})
+	}
+}
+
+// Guards against valid forms of a body that are refused or damaged.
+func TestFormsOfBody(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: 1\r\n"
+	for name, response := range map[string]string{
+		"length":           head + "Content-Length: 3\r\n\r\nabc",
+		"chunks":           head + "Transfer-Encoding: chunked\r\n\r\n1\r\na\r\n2;x=y\r\nbc\r\n0\r\n\r\n",
+		"trailer":          head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: y\r\n\r\n",
+		"until the end":    head + "Connection: close\r\n\r\nabc",
+		"interim response": "HTTP/1.1 100 Continue\r\n\r\n" + head + "Content-Length: 3\r\n\r\nabc",
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := do(rawPool(t, response, ""), "a", time.Second)
+			require.NoError(t, a.Err)
+			require.Equal(t, "abc", string(a.Body))
+		})
+	}
+}
+
+// Guards against bytes without end that are no response: they took 80 MB a second
+// until the deadline of the request.
+func TestEndlessResponse(t *testing.T) {
+	const (
+		head        = "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: 1\r\n"
+		memoryLimit = 16 << 20 // the pool's limit of 1 MiB for a body, with the growth of its buffer
+	)
+	fill := strings.Repeat("x", 32<<10)
+	for name, c := range map[string]struct{ response, endless string }{
+		"start line":        {"", fill},
+		"header field":      {head + "X: ", fill},
+		"header fields":     {head, strings.Repeat("X: y\r\n", 1000)},
+		"interim responses": {"", strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 100)},
+		"body":              {head + "Connection: close\r\n\r\n", fill},
+		"chunks":            {head + "Transfer-Encoding: chunked\r\n\r\n", "8000\r\n" + fill + "\r\n"},
+		"tiny chunks":       {head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\nx\r\n", 1000)},
+		"chunk size":        {head + "Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("0", 1000)},
+		"chunk extension":   {head + "Transfer-Encoding: chunked\r\n\r\n3;", fill},
+		"trailer line":      {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", fill},
+		"trailer lines":     {head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", strings.Repeat("X: y\r\n", 1000)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := rawPool(t, c.response, c.endless)
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			start := time.Now()
+			a := do(p, "a", 5*time.Second)
+			runtime.ReadMemStats(&after)
+			require.Error(t, a.Err)
+			require.False(t, a.NotRun)
+			require.Less(t, time.Since(start), 4*time.Second)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(memoryLimit))
+			t.Logf("%d KB allocated", (after.TotalAlloc-before.TotalAlloc)>>10)
+		})
+	}
+}
+
+// Guards against memory for a length that the server announces but never sends.
+func TestAnnouncedLengthAllocatesNothing(t *testing.T) {
+	p := rawPool(t, "HTTP/1.1 200 OK\r\nId: ID\r\nSeal: 1\r\nContent-Length: 1000000\r\n\r\nabc", "")
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	require.ErrorIs(t, do(p, "a", time.Second).Err, io.ErrUnexpectedEOF)
+	runtime.ReadMemStats(&after)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(500_000))
+}
+
+// Guards against a late second copy of a response that is taken for the response
+// to a later request with the same ID, which a client may repeat.
+func TestLateCopyAndRequestWithTheSameID(t *testing.T) {
+	var first net.Conn
+	p, _ := serve(t, func(n int, id string, c net.Conn) bool {
+		answers := []string{"first", "second", "third"}
+		if n == 1 {
+			first = c
+		}
+		if n == 3 && c == first {
+			io.WriteString(c, response(id, "first"))
+		}
+		io.WriteString(c, response(id, answers[n-1]))
+		return true
+	})
+	require.Equal(t, "first", string(do(p, "a", time.Second).Body))
+	require.Equal(t, "second", string(do(p, "b", time.Second).Body))
+	require.Equal(t, "third", string(do(p, "a", time.Second).Body))
+}
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -5,11 +5,11 @@
 	"encoding/binary"
 	"fmt"
 	"io"
-	"slices"
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/registry"
 )
@@ -186,11 +186,6 @@
 	return maxControlBytes
 }
 
-// initialBuffer is the capacity, in bytes, that is allocated before the content
-// of a frame arrives. The buffer of a longer frame grows as bytes arrive, because
-// the announced length may be false.
-const initialBuffer = 64 << 10
-
 // Read reads one frame. The encoded message, which message.Decode decodes, and
 // the body belong to the caller. The memory used is bounded by a multiple of the
 // bytes that have arrived.
@@ -215,25 +210,9 @@
 	if length > size {
 		return 0, nil, nil, &SizeError{size: length}
 	}
-	payload, err := readPayload(r, int(size))
+	data, err := payload.Read(r, int(size))
 	if err != nil {
 		return 0, nil, nil, err
 	}
-	return kind, payload[:length:length], payload[length:], nil
-}
-
-// readPayload reads size bytes.
-func readPayload(r *bufio.Reader, size int) ([]byte, error) {
-	payload := make([]byte, 0, min(size, initialBuffer))
-	for len(payload) < size {
-		if len(payload) == cap(payload) {
-			payload = slices.Grow(payload, min(size-len(payload), len(payload)))
-		}
-		n, err := io.ReadFull(r, payload[len(payload):min(size, cap(payload))])
-		payload = payload[:len(payload)+n]
-		if err != nil {
-			return nil, err
-		}
-	}
-	return payload, nil
+	return kind, data[:length:length], data[length:], nil
 }
--- /dev/null
+++ b/pkg/payload/doc.go
@@ -0,0 +1,2 @@
+// Package payload reads content whose length the sender has announced.
+package payload
