Count the wait of an offer from when it was sent, and survive failed accepts

Cause: an offer that was read late, after a pause of the process or a stall of the link, got its whole wait anew, so a backend server was handed more time than was left. A listener ended at the first failed accept, for example with the descriptors used up, and left a process alive, ready and deaf. Change: an offer carries a reading of the sender's clock; pkg/transit estimates the delay against the fastest recent offer on the link, without comparing clocks, and the wait is shortened by it. All listeners report a failed accept (event 633) and try again after 5 to 500 ms. Not covered: a suspended machine, whose steady clock stands still.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -47,6 +47,7 @@
 	EntryChanged          = register(630, logrus.InfoLevel, "node entry changed")
 	LinkOpened            = register(631, logrus.InfoLevel, "link opened")
 	LinkLost              = register(632, logrus.WarnLevel, "link lost")
+	AcceptFailed          = register(633, logrus.WarnLevel, "connection not accepted")
 	HeartbeatRejected     = register(640, logrus.WarnLevel, "heartbeat rejected")
 	BackendStateChanged   = register(641, logrus.InfoLevel, "backend server state changed")
 	RequestMalformed      = register(650, logrus.WarnLevel, "request malformed")
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -16,6 +16,7 @@
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/transit"
 )
 
 // expiryInterval is how often queued requests are checked for expiry.
@@ -47,13 +48,22 @@
 	body      []byte
 }
 
-// acceptOffer runs, queues or refuses an offer for the local backend server.
+// acceptOffer runs, queues or refuses an offer for the local backend server. The
+// wait of an offer began when it was sent. An offer that is read late, because
+// the link stalled or this process was paused, has used up a part of it.
 func (n *Node) acceptOffer(now time.Time, from *peer.Link, o *frame.Offer, body []byte) {
 	ex := &execution{key: executionKey{link: from, id: o.ID}, offer: *o, body: body}
+	n.mu.Lock()
+	ex.offer.Wait -= n.transitDelay(now, from, o.Sent)
 	ex.ticket = runner.Request[*execution]{
-		Value: ex, Priority: o.Priority, Expires: now.Add(o.Wait),
+		Value: ex, Priority: o.Priority, Expires: now.Add(ex.offer.Wait),
+	}
+	if ex.offer.Wait <= 0 {
+		refusal := n.refuseOffer(now, ex, outcome.Expired)
+		n.mu.Unlock()
+		n.reply(refusal)
+		return
 	}
-	n.mu.Lock()
 	if reason := n.unavailability(now, o); reason != outcome.None {
 		refusal := n.refuseOffer(now, ex, reason)
 		n.mu.Unlock()
@@ -82,6 +92,19 @@
 	}
 }
 
+// transitDelay returns by how much an offer was delayed on its link.
+func (n *Node) transitDelay(now time.Time, from *peer.Link, sent time.Duration) time.Duration {
+	if from == nil {
+		return 0
+	}
+	t := n.transits[from]
+	if t == nil {
+		t = &transit.Estimator{}
+		n.transits[from] = t
+	}
+	return t.Delay(now, sent)
+}
+
 // unavailability returns the reason why the local backend server cannot accept an
 // offer, or None.
 func (n *Node) unavailability(now time.Time, o *frame.Offer) outcome.Reason {
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -90,6 +90,11 @@
 			}
 			return nil, err
 		}
+		ln = socket.Resilient(ln, func(err error) {
+			n.journal.WriteSampled(time.Now(), event.AcceptFailed, func() logrus.Fields {
+				return logrus.Fields{"listener": s.address, "detail": err.Error()}
+			})
+		})
 		listeners = append(listeners, ln)
 		go func() {
 			if err := s.serve(ln); err != nil && ctx.Err() == nil {
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -62,6 +62,9 @@
 func (n *Node) LinkDown(l *peer.Link, cause error) {
 	now := time.Now()
 	n.cancelLinkExecutions(l)
+	n.mu.Lock()
+	delete(n.transits, l)
+	n.mu.Unlock()
 	if l.Address() == "" {
 		return
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -29,6 +29,7 @@
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/transit"
 	"github.com/papayapath/papayapath/pkg/window"
 )
 
@@ -78,6 +79,7 @@
 	pool       *upstream.Pool
 	clients    *ingress.Server
 	ctx        context.Context
+	started    time.Time // origin of the clock readings in offers
 	log        atomic.Pointer[CompactedLog]
 	table      atomic.Pointer[routing.Table]
 	offerCount atomic.Uint64 // number of offers sent, and ID of the latest
@@ -104,7 +106,8 @@
 	brokenExecutions   []brokenExecution
 	pending            map[uint64]*pending
 	executions         map[executionKey]*execution
-	runningByRequest   map[string]*execution // executions in progress, by request ID
+	transits           map[*peer.Link]*transit.Estimator // delays of the offers on inbound links
+	runningByRequest   map[string]*execution             // executions in progress, by request ID
 	expiryScheduled    bool
 	stopping           bool
 	admissionEnd       time.Time // if stopping, time from which new requests are refused
@@ -135,6 +138,7 @@
 		retryBudgets:     make(map[string]*allowance.Allowance),
 		pending:          make(map[uint64]*pending),
 		executions:       make(map[executionKey]*execution),
+		transits:         make(map[*peer.Link]*transit.Estimator),
 		runningByRequest: make(map[string]*execution),
 		entryChanged:     make(chan struct{}, 1),
 	}
@@ -143,6 +147,7 @@
 	n.clients = ingress.New(n)
 	n.pool = upstream.New(env.BackendAddr.String(), headerCodec, maxResponseBody)
 	now := time.Now()
+	n.started = now
 	n.self = registry.Entry{
 		Node:        env.PeerAddr.String(),
 		Incarnation: now.UnixMilli(),
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -56,7 +56,7 @@
 			return reason
 		}
 		o := req.offer
-		o.ID, o.Wait = id, remaining
+		o.ID, o.Wait, o.Sent = id, remaining, now.Sub(n.started)
 		if p.link == nil {
 			n.acceptOffer(now, nil, &o, req.body)
 			return outcome.None
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -64,7 +64,8 @@
 	Service    string
 	Route      message.Route
 	Priority   priority.Priority
-	Wait       time.Duration // time for which the sender waits for the answer
+	Wait       time.Duration // time from Sent for which the sender waits for the answer
+	Sent       time.Duration // reading of the sender's clock, whose origin is arbitrary
 	Repeatable bool
 	Nested     bool   // a call made by a request that another node admitted
 	HasBody    bool   // the request has a body, which may be empty
