Report no queue time for requests that were never queued

Cause: an offer that a node refuses before its queue, because its backend server leaves or is absent, reported a queue time counted from the zero time: the longest duration. The entry node adds such times up, which overflows to a negative delay, and with it the mean of the route's window, a weighted mean, stays negative for about 170 samples: the window then sees no congestion. Without a second summand it counts as the longest delay and halves the window. Found by reading, while a refusal before the queue was added. Change: a request that was not offered has queue time 0; a window takes a negative delay as 0.

--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -41,9 +41,12 @@
 }
 
 // QueueTime returns the time that the request spent in the queue, up to now if
-// it has not started.
+// it has not started. It is 0 for a request that was not offered.
 func (req *Request[T]) QueueTime(now time.Time) time.Duration {
-	if !req.started.IsZero() {
+	switch {
+	case req.arrived.IsZero():
+		return 0
+	case !req.started.IsZero():
 		return req.started.Sub(req.arrived)
 	}
 	return now.Sub(req.arrived)
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -160,3 +160,11 @@
 	}
 	require.Equal(t, 185*time.Millisecond, r.Time(start.Add(200*time.Millisecond)).Round(time.Millisecond))
 }
+
+// Guards against the queue time of a request that was refused without being
+// offered, for example because its server is leaving: measured from the zero
+// time, it is the longest duration, and a sum with another one is negative.
+func TestQueueTimeOfRequestNotOffered(t *testing.T) {
+	var req runner.Request[int]
+	require.Zero(t, req.QueueTime(time.Unix(1000, 0)))
+}
--- a/pkg/window/window.go
+++ b/pkg/window/window.go
@@ -102,7 +102,7 @@
 func (w *Window) End(now time.Time, s Sample) {
 	concurrency := w.inFlight
 	w.inFlight--
-	delay := min(s.QueueDelay, maxDelayTargets*w.target)
+	delay := min(max(s.QueueDelay, 0), maxDelayTargets*w.target)
 	if s.Refused {
 		delay = maxDelayTargets * w.target
 	}
--- a/pkg/window/window_test.go
+++ b/pkg/window/window_test.go
@@ -1,6 +1,7 @@
 package window_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -180,3 +181,23 @@
 	require.Equal(t, delay, w.QueueDelay())
 	require.Zero(t, w.InFlight())
 }
+
+// Pattern: servers of the bottleneck leave during an overload, and a sample with
+// an impossible delay is reported. It must neither lift the limit nor hide the
+// congestion that follows.
+func TestInvalidDelayDoesNotHideCongestion(t *testing.T) {
+	const objective = 800 * time.Millisecond // target 100 ms
+	now := time.Unix(1000, 0)
+	w := window.New(objective)
+	require.True(t, w.Admit(now))
+	w.End(now, window.Sample{Start: now, QueueDelay: math.MinInt64})
+	for range 40 {
+		now = now.Add(10 * time.Millisecond)
+		require.True(t, w.Admit(now))
+		w.End(now, window.Sample{Start: now, QueueDelay: 300 * time.Millisecond})
+		if w.Congested() {
+			return
+		}
+	}
+	require.Fail(t, "40 delayed requests do not count as congestion")
+}
