Announce a configuration in the own failure domain first

Cause: each log reader announced a new configuration to all nodes at once, so a node asked the first that it heard of, mostly in another failure domain, and a large document crossed between domains about once a node. Change: nodes of the own domain are told at once, those of other domains after 600 ms, when they have it unless no node of their domain reads the log; the interval between two requests of a version is 500 ms in place of 250.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -26,8 +26,9 @@
 	// another node.
 	antiEntropyInterval = time.Second
 	// configurationRequestInterval is the minimum time between two requests for
-	// the same configuration version.
-	configurationRequestInterval = 250 * time.Millisecond
+	// the same configuration version. It covers the transfer of a large document
+	// to all nodes of a failure domain.
+	configurationRequestInterval = 500 * time.Millisecond
 	// logReadersPerDomain is the number of nodes in a failure domain that read
 	// the platform log on behalf of the others.
 	logReadersPerDomain = 2
@@ -148,7 +149,7 @@
 			n.reconcile(now, l, d)
 		}
 	case frame.KindConfiguration:
-		n.applyConfiguration(now, body, false)
+		n.applyConfiguration(body, false)
 	case frame.KindSuspicions:
 		var s frame.Suspicions
 		if s, err = message.Decode[frame.Suspicions](head); err == nil {
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -28,6 +29,10 @@
 	// maxReadFailures is the number of consecutive failed reads after which the
 	// node reports the log as unreadable and another node reads in its place.
 	maxReadFailures = 2
+	// remoteAnnouncementDelay is the delay after which nodes of other failure
+	// domains are told of a new configuration. It exceeds the time in which the
+	// log readers of a domain read it and its other nodes request it.
+	remoteAnnouncementDelay = 600 * time.Millisecond
 )
 
 // backoff computes exponential retry delays with jitter.
@@ -99,7 +104,7 @@
 func (n *Node) applyRecords(records []keyed.Record) {
 	for _, r := range records {
 		if r.Key == n.platform.Key && len(r.Value) > 0 {
-			n.applyConfiguration(time.Now(), r.Value, true)
+			n.applyConfiguration(r.Value, true)
 		}
 	}
 }
@@ -138,7 +143,7 @@
 // applyConfiguration decodes a configuration and puts it in force if its version
 // is higher than that of the current one. Configurations read from the log are
 // announced to the other nodes.
-func (n *Node) applyConfiguration(now time.Time, rawConfiguration []byte, fromLog bool) {
+func (n *Node) applyConfiguration(rawConfiguration []byte, fromLog bool) {
 	t, err := n.platform.Configuration(rawConfiguration, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if err != nil {
 		n.journal.Write(event.ConfigurationRejected, logrus.Fields{"detail": err.Error()})
@@ -152,16 +157,37 @@
 	}
 	n.table.Store(t)
 	n.rawConfiguration = append([]byte(nil), rawConfiguration...)
-	d := n.digest()
+	d := frame.Digest{Version: t.Version()}
 	n.mu.Unlock()
 	n.journal.Write(event.ConfigurationChanged, logrus.Fields{"version": t.Version(), "from_log": fromLog})
-	if !fromLog {
-		return
+	if fromLog {
+		n.announceConfiguration(d)
 	}
-	for _, l := range n.mesh.Links() {
+}
+
+// announceConfiguration announces a configuration that was read from the log.
+// Each failure domain has its own log readers, so the nodes of the own domain are
+// told at once and the others later. By then they have the configuration, unless
+// no node of their domain can read the log, and the document crosses between
+// domains only where it has to.
+func (n *Node) announceConfiguration(d frame.Digest) {
+	n.sendDigest(d, true)
+	time.AfterFunc(remoteAnnouncementDelay, func() { n.sendDigest(d, false) })
+}
+
+// sendDigest sends a digest to the linked nodes in the own failure domain, or to
+// those in the others.
+func (n *Node) sendDigest(d frame.Digest, ownDomain bool) {
+	links := n.mesh.Links()
+	n.mu.Lock()
+	links = slices.DeleteFunc(links, func(l *peer.Link) bool {
+		e, ok := n.registry.Get(l.Address())
+		return (ok && e.Domain == n.self.Domain) != ownDomain
+	})
+	n.mu.Unlock()
+	for _, l := range links {
 		peer.Send(l, frame.KindDigest, d, nil)
 	}
-	_ = now
 }
 
 // maintainEntry writes the local entry to the log whenever it changes. After the
