Send the configuration to other nodes on request only

Cause: a digest with an older version was answered with the whole configuration. A node greets all others when it starts; one that has no configuration yet, as when the store is down or slow, got a copy from each: n copies a start, n squared when all start together. Found while bytes between failure domains were traced.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -176,8 +176,9 @@
 }
 
 // reconcile compares the digest of another node with the local one. It sends a
-// summary of the registry if the entries differ, and sends or requests the newer
-// configuration.
+// summary of the registry if the entries differ. The configuration, which may be
+// large, is sent only on request: a node that starts without one greets all
+// others at once, and each would send it.
 func (n *Node) reconcile(now time.Time, l *peer.Link, d frame.Digest) {
 	n.mu.Lock()
 	local := n.digest()
@@ -196,9 +197,12 @@
 	}
 	switch {
 	case request:
-		peer.Send(l, frame.KindDigest, frame.Digest{Version: local.Version}, nil)
-	case d.Version < local.Version:
+		peer.Send(l, frame.KindDigest, frame.Digest{Version: local.Version, Request: true}, nil)
+	case d.Version >= local.Version:
+	case d.Request:
 		peer.Send(l, frame.KindConfiguration, frame.Configuration{Version: local.Version}, rawConfiguration)
+	default:
+		peer.Send(l, frame.KindDigest, frame.Digest{Version: local.Version}, nil)
 	}
 }
 
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -119,6 +119,7 @@
 	_       struct{} `cbor:",toarray"`
 	Entries uint64   // digest of the registry, or 0 to compare only the version
 	Version uint64   // configuration version, or 0 if there is none
+	Request bool     // the receiver sends its configuration if it is newer
 }
 
 // Summary answers a digest that differs from that of the sender. The receiver
