Close a connection for a repeated request id instead of keeping it

Cause: a connection carries no request id twice, so a client that repeats one id opened a connection a request at the backend server and kept them, up to the cap of the server. Change: if no other idle connection is free, one that has carried the id is closed for the new one. Result: TestRepeatedIDKeepsConnectionsBounded fails before and passes now.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -182,18 +182,25 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil. It
-// passes over connections that have carried a request with the same ID: a late
-// second copy of that response would match the new request.
+// passes over connections that have carried a request with the same ID, because a
+// late second copy of that response would match the new request. If there are no
+// others it closes one of them, so that a client that repeats an ID does not add
+// to the connections of the server.
 func (p *Pool) takeIdle(now time.Time, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	known := -1
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
 		expired := now.Sub(c.lastUsed) > c.maxIdle
 		if !expired && slices.Contains(c.requests, id) {
+			known = i
 			continue
 		}
 		p.idle = slices.Delete(p.idle, i, i+1)
+		if known > i {
+			known--
+		}
 		if expired {
 			c.discard()
 			continue
@@ -201,6 +208,10 @@
 		p.reused++
 		return c
 	}
+	if known >= 0 {
+		p.idle[known].discard()
+		p.idle = slices.Delete(p.idle, known, known+1)
+	}
 	return nil
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -407,3 +407,16 @@
 	require.Equal(t, "second", string(do(p, "b", time.Second).Body))
 	require.Equal(t, "third", string(do(p, "a", time.Second).Body))
 }
+
+// Guards against a client that repeats one request ID and with it uses up the
+// connections of the server, since no connection carries an ID twice.
+func TestRepeatedIDKeepsConnectionsBounded(t *testing.T) {
+	p, _ := serve(t, func(_ int, id string, c net.Conn) bool {
+		io.WriteString(c, response(id, "body"))
+		return true
+	})
+	for range 50 {
+		require.NoError(t, do(p, "a", time.Second).Err)
+	}
+	require.Eventually(t, func() bool { open, _, _ := p.Stats(); return open <= 2 }, time.Second, 10*time.Millisecond)
+}
