--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -230,23 +230,30 @@
 	}
 }
 
-// handleEntries merges node entries received over a link. An entry of the sender
-// that replaces one of its predecessor, whose backend server was leaving, is
-// answered with the replaced one: the sender does not know of the leave.
+// handleEntries merges node entries received over a link. An entry of a restarted
+// node that replaces one whose backend server was leaving is answered with the
+// replaced one, because the new process may not know of the leave.
 func (n *Node) handleEntries(now time.Time, l *peer.Link, entries []registry.Entry) {
 	n.mu.Lock()
+	leaving := n.replacedLeaving(entries)
+	n.mergeEntries(now, entries)
+	n.mu.Unlock()
+	if len(leaving) > 0 {
+		peer.Send(l, frame.KindEntries, frame.Entries{Entries: leaving}, nil)
+	}
+}
+
+// replacedLeaving returns the known entries with a leaving backend server that are
+// replaced by those of restarted nodes.
+func (n *Node) replacedLeaving(entries []registry.Entry) []registry.Entry {
 	var leaving []registry.Entry
 	for _, e := range entries {
 		old, ok := n.registry.Get(e.Node)
-		if ok && old.State == readiness.Draining && e.Incarnation > old.Incarnation && e.State != readiness.Draining {
+		if ok && old.State == readiness.Draining && e.State != readiness.Draining && e.Incarnation > old.Incarnation {
 			leaving = append(leaving, old)
 		}
 	}
-	n.mergeEntries(now, entries)
-	n.mu.Unlock()
-	if len(leaving) > 0 {
-		peer.Send(l, frame.KindEntries, frame.Entries{Entries: leaving}, nil)
-	}
+	return leaving
 }
 
 // mergeEntries merges entries into the registry and connects to new nodes. The
--- a/pkg/transit/estimator.go
+++ b/pkg/transit/estimator.go
@@ -31,5 +31,6 @@
 		e.changed, e.previous, e.current = now, e.current, difference
 	}
 	e.current = min(e.current, difference)
-	return difference - min(e.current, e.previous)
+	// A reading that no clock has makes the differences overflow.
+	return max(0, difference-min(e.current, e.previous))
 }
--- a/pkg/transit/estimator_test.go
+++ b/pkg/transit/estimator_test.go
@@ -1,6 +1,7 @@
 package transit_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -50,3 +51,16 @@
 		require.LessOrEqual(t, e.Delay(now, sent), 7*millisecond)
 	}
 }
+
+// Guards against a reading of the sender that gives an offer more time than it
+// states.
+func TestDelayIsNeverNegative(t *testing.T) {
+	readings := []time.Duration{math.MinInt64, math.MaxInt64, 0, -1, 1}
+	for _, a := range readings {
+		for _, b := range readings {
+			var e transit.Estimator
+			e.Delay(start, a)
+			require.GreaterOrEqual(t, e.Delay(start.Add(time.Second), b), time.Duration(0), "%d %d", a, b)
+		}
+	}
+}
