--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -158,11 +158,9 @@
 	require.Eventually(t, func() bool { _, down, _, _ := h.counts(); return down > 0 }, timeout, pollInterval)
 }
 
-// Guards against dialing without a delay a node that accepts connections and
-// closes them at once, for example because its descriptors are used up.
-func TestBackoffWhenLinksCloseAtOnce(t *testing.T) {
-	const observed = 2 * time.Second
-	h := &handler{}
+// closingListener accepts connections and closes each after the given lifetime.
+// It returns its address and the number of connections accepted.
+func closingListener(t *testing.T, lifetime time.Duration) (string, *atomic.Int64) {
 	ln := listen(t, "127.0.0.1:0")
 	var accepted atomic.Int64
 	go func() {
@@ -172,12 +170,21 @@
 				return
 			}
 			accepted.Add(1)
-			c.Close()
+			time.AfterFunc(lifetime, func() { c.Close() })
 		}
 	}()
+	return ln.Addr().String(), &accepted
+}
+
+// Guards against dialing without a delay a node that accepts connections and
+// closes them at once, for example because its descriptors are used up.
+func TestBackoffWhenLinksCloseAtOnce(t *testing.T) {
+	const observed = 2 * time.Second
+	h := &handler{}
+	address, accepted := closingListener(t, 0)
 	m := peer.NewMesh(h)
 	defer m.Close()
-	m.Connect(t.Context(), ln.Addr().String())
+	m.Connect(t.Context(), address)
 	time.Sleep(observed)
 	// The shortest delays are 50, 100, 200, 400, 800 and 1000 ms.
 	require.LessOrEqual(t, accepted.Load(), int64(6))
@@ -188,21 +195,10 @@
 // Guards against a node that reconnects late after a link of normal lifetime.
 func TestReconnectAfterEstablishedLink(t *testing.T) {
 	h := &handler{}
-	ln := listen(t, "127.0.0.1:0")
-	var accepted atomic.Int64
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			accepted.Add(1)
-			time.AfterFunc(1100*time.Millisecond, func() { c.Close() })
-		}
-	}()
+	address, accepted := closingListener(t, 1100*time.Millisecond)
 	m := peer.NewMesh(h)
 	defer m.Close()
-	m.Connect(t.Context(), ln.Addr().String())
+	m.Connect(t.Context(), address)
 	require.Eventually(t, func() bool { return accepted.Load() == 2 }, timeout, pollInterval)
 	_, _, _, unreachable := h.counts()
 	require.Zero(t, unreachable)
