Contain a panic while input is decoded

Change: decoding of requests, responses, frames of other nodes, heartbeats, configurations and records runs in fault.Call, which turns a panic into an error with its stack; the sender's request or connection ends as with other malformed input. Panics elsewhere still end the process, because the tables behind the lock could be inconsistent.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/bytebufferpool"
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/pkg/routing"
 )
@@ -82,7 +83,8 @@
 	}
 	receivedAt := time.Now()
 	req := fasthttp.AcquireRequest()
-	if err := c.receive(req, receivedAt, &limits); err != nil {
+	_, err := fault.Call(func() (struct{}, error) { return struct{}{}, c.receive(req, receivedAt, &limits) })
+	if err != nil {
 		fasthttp.ReleaseRequest(req)
 		return c.rejectMalformed(err)
 	}
--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/readiness"
@@ -45,7 +46,7 @@
 // logged and ignored.
 func (n *Node) handleHeartbeat(ctx *fasthttp.RequestCtx, id string) {
 	now := time.Now()
-	h, err := n.platform.Heartbeat(id, ctx.PostBody())
+	h, err := fault.Call(func() (readiness.Heartbeat, error) { return n.platform.Heartbeat(id, ctx.PostBody()) })
 	if err != nil {
 		n.journal.WriteSampled(now, event.HeartbeatRejected, func() logrus.Fields {
 			return logrus.Fields{"detail": err.Error()}
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -115,44 +116,44 @@
 	switch kind {
 	case frame.KindOffer:
 		var o frame.Offer
-		if o, err = message.Decode[frame.Offer](head); err == nil {
+		if o, err = decodeMessage[frame.Offer](head); err == nil {
 			n.acceptOffer(now, l, &o, body)
 		}
 	case frame.KindAnswer:
 		var a frame.Answer
-		if a, err = message.Decode[frame.Answer](head); err == nil {
+		if a, err = decodeMessage[frame.Answer](head); err == nil {
 			n.handleAnswer(now, l, &a, body)
 		}
 	case frame.KindCancel:
 		var c frame.Cancel
-		if c, err = message.Decode[frame.Cancel](head); err == nil {
+		if c, err = decodeMessage[frame.Cancel](head); err == nil {
 			n.cancelExecution(executionKey{link: l, id: c.ID})
 		}
 	case frame.KindEntries:
 		var e frame.Entries
-		if e, err = message.Decode[frame.Entries](head); err == nil {
+		if e, err = decodeMessage[frame.Entries](head); err == nil {
 			n.handleEntries(now, l, e.Entries)
 		}
 	case frame.KindSummary:
 		var m frame.Summary
-		if m, err = message.Decode[frame.Summary](head); err == nil {
+		if m, err = decodeMessage[frame.Summary](head); err == nil {
 			n.handleSummary(l, m)
 		}
 	case frame.KindBuckets:
 		var b frame.Buckets
-		if b, err = message.Decode[frame.Buckets](head); err == nil {
+		if b, err = decodeMessage[frame.Buckets](head); err == nil {
 			n.handleBuckets(now, l, b)
 		}
 	case frame.KindDigest:
 		var d frame.Digest
-		if d, err = message.Decode[frame.Digest](head); err == nil {
+		if d, err = decodeMessage[frame.Digest](head); err == nil {
 			n.reconcile(now, l, d)
 		}
 	case frame.KindConfiguration:
 		n.applyConfiguration(body, false)
 	case frame.KindSuspicions:
 		var s frame.Suspicions
-		if s, err = message.Decode[frame.Suspicions](head); err == nil {
+		if s, err = decodeMessage[frame.Suspicions](head); err == nil {
 			n.mergeSuspicions(now, s.Suspicions)
 		}
 	case frame.KindPing:
@@ -166,6 +167,11 @@
 	}
 }
 
+// decodeMessage decodes a message of another node.
+func decodeMessage[T any](data []byte) (T, error) {
+	return fault.Call(func() (T, error) { return message.Decode[T](data) })
+}
+
 // digest returns the digest of the node entries and the configuration version.
 func (n *Node) digest() frame.Digest {
 	d := frame.Digest{Entries: n.registry.Digest()}
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -8,11 +8,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/keyed"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/registry"
+	"github.com/papayapath/papayapath/pkg/routing"
 )
 
 const (
@@ -144,7 +146,9 @@
 // is higher than that of the current one. Configurations read from the log are
 // announced to the other nodes.
 func (n *Node) applyConfiguration(rawConfiguration []byte, fromLog bool) {
-	t, err := n.platform.Configuration(rawConfiguration, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	t, err := fault.Call(func() (*routing.Table, error) {
+		return n.platform.Configuration(rawConfiguration, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	})
 	if err != nil {
 		n.journal.Write(event.ConfigurationRejected, logrus.Fields{"detail": err.Error()})
 		return
@@ -238,7 +242,7 @@
 	}
 	var entries []registry.Entry
 	for _, r := range records {
-		e, err := message.Decode[registry.Entry](r.Value)
+		e, err := decodeMessage[registry.Entry](r.Value)
 		if err != nil {
 			n.journal.Write(event.LogUnavailable, logrus.Fields{"key": r.Key, "detail": err.Error()})
 			continue
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/fault"
 )
 
 const (
@@ -120,7 +122,7 @@
 		c.fail(e, err)
 		return false
 	}
-	a, keep := c.readAnswer(r, h, e)
+	a, keep := c.decodeAnswer(r, h, e)
 	c.mu.Lock()
 	keep = keep && c.written && r.Buffered() == 0
 	c.exchange = nil
@@ -175,6 +177,19 @@
 	e.done(&Answer{Sent: true, Err: err})
 }
 
+// decodeAnswer reads the response to e. A panic ends the exchange and the
+// connection.
+func (c *conn) decodeAnswer(r *bufio.Reader, h *fasthttp.ResponseHeader, e *Exchange) (a *Answer, keep bool) {
+	a, err := fault.Call(func() (read *Answer, _ error) {
+		read, keep = c.readAnswer(r, h, e)
+		return read, nil
+	})
+	if err != nil {
+		return &Answer{Sent: true, Err: err}, false
+	}
+	return a, keep
+}
+
 // readAnswer reads the response to e and skips late responses to earlier
 // requests.
 func (c *conn) readAnswer(r *bufio.Reader, h *fasthttp.ResponseHeader, e *Exchange) (a *Answer, keep bool) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/upstream"
 )
 
@@ -21,7 +22,12 @@
 // and a refusal from Not-Run.
 type codec struct{}
 
-func (codec) Matches(h *fasthttp.ResponseHeader, id string) bool { return string(h.Peek("Id")) == id }
+func (codec) Matches(h *fasthttp.ResponseHeader, id string) bool {
+	if len(h.Peek("Panic")) > 0 {
+		panic("malformed header field")
+	}
+	return string(h.Peek("Id")) == id
+}
 
 func (codec) NotRun(h *fasthttp.ResponseHeader) bool { return len(h.Peek("Not-Run")) > 0 }
 
@@ -420,3 +426,23 @@
 	}
 	require.Eventually(t, func() bool { open, _, _ := p.Stats(); return open <= 2 }, time.Second, 10*time.Millisecond)
 }
+
+// Guards against a response whose decoding panics and ends the process. It costs
+// one request, whose outcome is unknown, and the connection.
+func TestPanicInDecoding(t *testing.T) {
+	p, conns := serve(t, func(n int, id string, c net.Conn) bool {
+		if n == 1 {
+			io.WriteString(c, "HTTP/1.1 200 OK\r\nPanic: 1\r\nId: "+id+"\r\nSeal: 1\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}
+		io.WriteString(c, response(id, "body"))
+		return true
+	})
+	a := do(p, "a", time.Second)
+	var panicError *fault.PanicError
+	require.ErrorAs(t, a.Err, &panicError)
+	require.True(t, a.Sent)
+	require.False(t, a.NotRun)
+	require.Equal(t, "body", string(do(p, "b", time.Second).Body))
+	require.Equal(t, int64(2), conns.Load())
+}
