Log what a backend server says of itself in its answers

Change: the codec reads Server-Limit and Server-Leaving; events 642 (changed) and 643 (requests in the last 4 s, once a second while a limit is named), counter server_requests. No decision uses them.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -50,6 +50,8 @@
 	AcceptFailed          = register(633, logrus.WarnLevel, "connection not accepted")
 	HeartbeatRejected     = register(640, logrus.WarnLevel, "heartbeat rejected")
 	BackendStateChanged   = register(641, logrus.InfoLevel, "backend server state changed")
+	ServerNoticeChanged   = register(642, logrus.InfoLevel, "server notice changed")
+	ServerLimitInForce    = register(643, logrus.InfoLevel, "server limit in force")
 	RequestMalformed      = register(650, logrus.WarnLevel, "request malformed")
 	RequestRefused        = register(651, logrus.InfoLevel, "request refused")
 	RequestOutcomeUnknown = register(652, logrus.WarnLevel, "request ended with an unknown outcome")
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -123,6 +123,7 @@
 
 // recordStart records the start of an execution.
 func (n *Node) recordStart(ex *execution) {
+	n.stats.sends.Inc(1)
 	n.callGraph.Run(ex.offer.Route)
 	n.runningByRequest[ex.offer.Request] = ex
 }
@@ -169,6 +170,7 @@
 	replies := []reply{completed}
 	delete(n.executions, ex.key)
 	n.recordExecutionEnd(now, ex, a)
+	n.recordNotice(a)
 	if isConnectionRefused(a.Err) {
 		n.recordCrash(now)
 		n.readiness.ConnectionRefused(now)
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -323,6 +323,7 @@
 			return
 		case now := <-ticker.C:
 			n.pool.CloseExpired(now)
+			n.logServerLimit(now)
 			links := n.mesh.Links()
 			if len(links) == 0 {
 				continue
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -36,6 +36,7 @@
 	unrouted       metrics.Counter
 	offersRefused  metrics.Counter
 	logFailures    metrics.Counter
+	sends          metrics.Counter   // requests sent to the local backend server
 	latency        metrics.Histogram // of complete responses, in microseconds
 	serviceTime    metrics.Histogram // of executions on the local backend server, in microseconds
 }
@@ -58,6 +59,7 @@
 		unrouted:       counter("requests_unrouted"),
 		offersRefused:  counter("offers_refused"),
 		logFailures:    counter("log_failures"),
+		sends:          counter("server_requests"),
 		latency:        histogram("latency_us"),
 		serviceTime:    histogram("service_us"),
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -23,6 +23,7 @@
 	"github.com/papayapath/papayapath/pkg/keyed"
 	"github.com/papayapath/papayapath/pkg/latency"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/registry"
@@ -92,6 +93,8 @@
 	registry           *registry.Registry
 	readiness          *readiness.Tracker
 	healthCheckRunning bool
+	notice             notice.Notice            // of the latest answer of the local backend server
+	sendCounts         [limitLogIntervals]int64 // requests sent until each of the last ticks
 	runner             *runner.Runner[*execution]
 	callGraph          *callgraph.Graph
 	latencies          map[message.Route]*latency.Estimator
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -219,6 +219,7 @@
 	if a.Err != nil {
 		return a, false
 	}
+	a.Notice = hc.Notice(h)
 	a.Head = hc.AppendResponseHeader(nil, h)
 	a.Body = body
 	c.maxIdle = keepAliveTimeout(string(h.Peek("Keep-Alive")))
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/pkg/notice"
 )
 
 const (
@@ -46,6 +48,8 @@
 	NotRun(h *fasthttp.ResponseHeader) bool
 	// IsSigned reports whether a response has the server's signature.
 	IsSigned(h *fasthttp.ResponseHeader) bool
+	// Notice returns what the server says of itself.
+	Notice(h *fasthttp.ResponseHeader) notice.Notice
 	// AppendResponseHeader appends the header fields that the caller gets.
 	AppendResponseHeader(dst []byte, h *fasthttp.ResponseHeader) []byte
 }
@@ -66,6 +70,7 @@
 	NotRun bool  // the server states, or it is certain, that the request was not run
 	Sent   bool  // the server may have received a part of the request
 	Err    error // the response is missing or invalid
+	Notice notice.Notice
 }
 
 // errDial means that nothing was sent.
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/upstream"
+	"github.com/papayapath/papayapath/pkg/notice"
 )
 
 // codec takes the id of the request from the field Id, a signature from Seal
@@ -33,6 +34,8 @@
 
 func (codec) IsSigned(h *fasthttp.ResponseHeader) bool { return len(h.Peek("Seal")) > 0 }
 
+func (codec) Notice(*fasthttp.ResponseHeader) notice.Notice { return notice.Notice{} }
+
 func (codec) AppendResponseHeader(dst []byte, h *fasthttp.ResponseHeader) []byte {
 	return append(append(append(dst, "Id: "...), h.Peek("Id")...), "\r\n"...)
 }
