Send a backend server no more requests a second than it takes

Cause: a statement of a server about itself was passed to the caller and read by nobody. A node knew slots and run times only. Change: the node beside the server, which alone sends to it, keeps the limit (pkg/intake) and starts no more requests than it (pkg/runner). Waiting ones queue by priority as for slots; the reported capacity is rate times run time, so that other nodes choose other servers. Refused offers have the reason limited, a lack of capacity. Each answer carries the limit, and each offer brings it back, so that a restarted node knows it from the first request of a node that was told. The limit ends with three answers in a row that name none. Why it works: all requests pass the node beside the server, so one count bounds the sum over all entry nodes, whatever links are cut.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -9,6 +9,8 @@
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/upstream"
+	"github.com/papayapath/papayapath/pkg/intake"
+	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/readiness"
 )
@@ -90,6 +92,9 @@
 	healthy := false
 	path := n.awaitHealthPath()
 	if path != "" {
+		n.mu.Lock()
+		n.intake.Take(time.Now())
+		n.mu.Unlock()
 		err := upstream.CheckHealth(n.ctx, n.env.BackendAddr.String(), path, healthCheckTimeout, func(h *fasthttp.ResponseHeader) {
 			id, healthy = n.codec.InstanceID(h), h.StatusCode() == fasthttp.StatusOK
 		})
@@ -152,6 +157,10 @@
 		"server": heartbeat.ID, "born": heartbeat.Born, "sequence": heartbeat.Sequence, "slots": heartbeat.Slots,
 		"state": state.String(), "was": n.self.State.String(),
 	})
+	if n.self.Instance != heartbeat.ID || n.self.Born != heartbeat.Born {
+		// A limit, and what was said of it, ends with its server.
+		*n.intake, n.notice = intake.Intake{}, notice.Notice{}
+	}
 	n.self.State, n.self.Instance, n.self.Born, n.self.Slots = state, heartbeat.ID, heartbeat.Born, heartbeat.Slots
 	n.announceEntry(now)
 	if state == readiness.Ready {
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -29,6 +29,8 @@
 	body       []byte
 	ticket     runner.Request[*execution]
 	exchange   *upstream.Exchange
+	server     readiness.Incarnation // server that the request is sent to
+	startedAt  time.Time
 	canceled   bool
 	queueDelay time.Duration // queue delay of its nested calls
 	overloaded bool          // a nested call was refused for lack of capacity
@@ -64,6 +66,7 @@
 		n.reply(refusal)
 		return
 	}
+	n.adoptIntake(now, o.Intake)
 	if reason := n.unavailability(now, o); reason != outcome.None {
 		refusal := n.refuseOffer(now, ex, reason)
 		n.mu.Unlock()
@@ -77,13 +80,13 @@
 	}
 	switch decision {
 	case runner.Refused:
-		replies = append(replies, n.refuseOffer(now, ex, outcome.Overload))
+		replies = append(replies, n.refuseOffer(now, ex, n.capacityReason()))
 	case runner.Queued:
 		n.executions[ex.key] = ex
 		n.scheduleExpiry()
 	case runner.Started:
 		n.executions[ex.key] = ex
-		n.recordStart(ex)
+		n.recordStart(now, ex)
 	}
 	n.mu.Unlock()
 	n.reply(replies...)
@@ -122,7 +125,8 @@
 }
 
 // recordStart records the start of an execution.
-func (n *Node) recordStart(ex *execution) {
+func (n *Node) recordStart(now time.Time, ex *execution) {
+	ex.server, ex.startedAt = n.readiness.Last().Incarnation, now
 	n.stats.sends.Inc(1)
 	n.callGraph.Run(ex.offer.Route)
 	n.runningByRequest[ex.offer.Request] = ex
@@ -131,12 +135,9 @@
 // startExecution sends a request to the local backend server.
 func (n *Node) startExecution(now time.Time, ex *execution) {
 	remaining := ex.ticket.Expires.Sub(now)
-	n.mu.Lock()
-	instance := n.readiness.Last().ID
-	n.mu.Unlock()
 	data := make([]byte, 0, len(ex.offer.Head)+len(ex.body)+attemptFieldsReserve)
 	data = append(data, ex.offer.Head...)
-	data = n.codec.AppendAttemptFields(data, remaining, instance, len(ex.body), ex.offer.HasBody)
+	data = n.codec.AppendAttemptFields(data, remaining, ex.server.ID, len(ex.body), ex.offer.HasBody)
 	data = append(data, ex.body...)
 	e := n.pool.Start(now, &upstream.Request{
 		ID: ex.offer.Request, Raw: data, Timeout: remaining, HeadOnly: ex.offer.HeadOnly,
@@ -162,6 +163,7 @@
 	if n.runningByRequest[ex.offer.Request] == ex {
 		delete(n.runningByRequest, ex.offer.Request)
 	}
+	n.recordNotice(now, ex, a)
 	completed := reply{execution: ex, answer: n.answer(now, ex, a)}
 	if completed.answer.Outcome == outcome.Complete {
 		completed.body = a.Body
@@ -170,7 +172,6 @@
 	replies := []reply{completed}
 	delete(n.executions, ex.key)
 	n.recordExecutionEnd(now, ex, a)
-	n.recordNotice(a)
 	if isConnectionRefused(a.Err) {
 		n.recordCrash(now)
 		n.readiness.ConnectionRefused(now)
@@ -193,7 +194,7 @@
 		if t == nil {
 			return runnable
 		}
-		n.recordStart(t.Value)
+		n.recordStart(now, t.Value)
 		runnable = append(runnable, t.Value)
 	}
 }
@@ -263,7 +264,8 @@
 // of the request, including that of its nested calls.
 func (n *Node) setServerState(now time.Time, ex *execution, a *frame.Answer) {
 	a.Load = n.runner.Running() + n.runner.Queued()
-	a.Limit, a.Time = n.runner.Limit(), n.runner.Time(now)
+	a.Limit, a.Time = n.runner.Capacity(), n.runner.Time(now)
+	a.Intake = n.currentIntake()
 	a.QueueDelay, a.CallRefused = ex.ticket.QueueTime(now)+ex.queueDelay, ex.overloaded
 }
 
@@ -276,7 +278,7 @@
 		return logrus.Fields{
 			"request": ex.offer.Request, "reason": reason.String(), "priority": ex.offer.Priority,
 			"waited_ms": a.QueueDelay.Milliseconds(), "running": n.runner.Running(), "queued": n.runner.Queued(),
-			"limit": a.Limit, "server": n.readiness.State().String(), "inner": ex.offer.Nested,
+			"limit": n.runner.Limit(), "server": n.readiness.State().String(), "inner": ex.offer.Nested,
 		}
 	})
 	return reply{execution: ex, answer: a}
@@ -337,7 +339,7 @@
 }
 
 // expireQueued refuses the queued requests that cannot finish before their
-// deadline.
+// deadline, and starts those for which the server has become free.
 func (n *Node) expireQueued() {
 	now := time.Now()
 	n.mu.Lock()
@@ -347,9 +349,13 @@
 		delete(n.executions, t.Value.key)
 		replies = append(replies, n.refuseOffer(now, t.Value, outcome.Expired))
 	}
+	runnable := n.dequeueRunnable(now)
 	if n.runner.Queued() > 0 {
 		n.scheduleExpiry()
 	}
 	n.mu.Unlock()
 	n.reply(replies...)
+	for _, queued := range runnable {
+		n.startExecution(now, queued)
+	}
 }
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -104,6 +104,7 @@
 	n.mu.Lock()
 	n.registry.Drop(now, address)
 	n.roster.Remove(address)
+	delete(n.intakes, address)
 	n.mu.Unlock()
 	n.mesh.Drop(address)
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -20,6 +20,7 @@
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/callgraph"
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/intake"
 	"github.com/papayapath/papayapath/pkg/keyed"
 	"github.com/papayapath/papayapath/pkg/latency"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -96,6 +97,8 @@
 	notice             notice.Notice            // of the latest answer of the local backend server
 	sendCounts         [limitLogIntervals]int64 // requests sent until each of the last ticks
 	runner             *runner.Runner[*execution]
+	intake             *intake.Intake           // rate of the requests to the local backend server
+	intakes            map[string]*frame.Intake // limits that the servers of other nodes named, by node
 	callGraph          *callgraph.Graph
 	latencies          map[message.Route]*latency.Estimator
 	windows            map[message.Route]*window.Window
@@ -130,7 +133,8 @@
 		stats:            newStats(),
 		registry:         registry.New(),
 		readiness:        &readiness.Tracker{},
-		runner:           runner.New[*execution](),
+		intake:           &intake.Intake{},
+		intakes:          make(map[string]*frame.Intake),
 		callGraph:        callgraph.New(),
 		latencies:        make(map[message.Route]*latency.Estimator),
 		windows:          make(map[message.Route]*window.Window),
@@ -145,6 +149,7 @@
 		runningByRequest: make(map[string]*execution),
 		entryChanged:     make(chan struct{}, 1),
 	}
+	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
 	n.log.Store(&log)
 	n.mesh = peer.NewMesh(n)
 	n.clients = ingress.New(n)
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -67,12 +67,13 @@
 	Wait       time.Duration // time from Sent for which the sender waits for the answer
 	Sent       time.Duration // reading of the sender's clock, whose origin is arbitrary
 	Repeatable bool
-	Nested     bool   // a call made by a request that another node admitted
-	HasBody    bool   // the request has a body, which may be empty
-	HeadOnly   bool   // the response has no body, whatever its header fields say
-	Origin     string // service of the instance that received the request
-	Content    uint64 // hash of host, method, path and body
-	Head       []byte // request line and header fields
+	Nested     bool    // a call made by a request that another node admitted
+	HasBody    bool    // the request has a body, which may be empty
+	HeadOnly   bool    // the response has no body, whatever its header fields say
+	Origin     string  // service of the instance that received the request
+	Content    uint64  // hash of host, method, path and body
+	Head       []byte  // request line and header fields
+	Intake     *Intake // limit that the sender heard the server name, if any
 }
 
 // Answer is the final reply to an offer.
@@ -91,6 +92,17 @@
 	Time        time.Duration // service time of a request at the server
 	HasFanout   bool
 	Fanout      []ServiceCalls // if HasFanout, the calls that one run of the route causes
+	Intake      *Intake        // limit that the server names, if any
+}
+
+// Intake is the limit that a backend server has named in its answers. It goes
+// with each answer while it is in force. The receiver sends it back with its
+// offers, so that a restarted node knows the limit before its server answers.
+type Intake struct {
+	_    struct{} `cbor:",toarray"`
+	ID   string   // ID of the server
+	Born int64    // start of the server, Unix milliseconds by its clock
+	Rate float64  // requests a second from all nodes together
 }
 
 // ServiceCalls is the mean number of calls to a service that one run causes,
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -53,6 +53,7 @@
 	TooLarge           // a body or header exceeds its limit
 	InProgress         // a call with the same key is running and its outcome is not yet known
 	Forgotten          // the key is older than the records of this owner
+	Limited            // the server takes no more requests a second
 	reasonCount
 )
 
@@ -60,7 +61,7 @@
 	"none", "overload", "draining", "unavailable", "expired", "rate",
 	"forbidden", "malformed", "conflict", "stale", "nolease", "epoch",
 	"suspect", "broken", "crashed", "canceled", "preempted", "toolarge",
-	"inprogress", "forgotten",
+	"inprogress", "forgotten", "limited",
 }
 
 // String returns the value of the response header Papayapath-Reason.
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/priority"
@@ -52,13 +53,41 @@
 	return now.Sub(req.arrived)
 }
 
+// Pacer limits the rate at which requests are started.
+type Pacer interface {
+	// Delay returns the time until a request may be started, 0 if it may be
+	// started now.
+	Delay(now time.Time) time.Duration
+	// Take records the start of a request.
+	Take(now time.Time)
+	// Rate returns the limit in requests a second, if there is one.
+	Rate() (perSecond float64, ok bool)
+}
+
+// Option changes a default of New.
+type Option func(*config)
+
+type config struct{ pacer Pacer }
+
+// WithPacer limits the rate at which requests are started.
+func WithPacer(p Pacer) Option { return func(c *config) { c.pacer = p } }
+
+// unpaced is a Pacer without a limit.
+type unpaced struct{}
+
+func (unpaced) Delay(time.Time) time.Duration { return 0 }
+func (unpaced) Take(time.Time)                {}
+func (unpaced) Rate() (float64, bool)         { return 0, false }
+
 // Runner schedules the requests of one backend server. It limits the number of
-// concurrent requests and holds the others in a priority queue.
+// concurrent requests and the rate of new ones, and holds the others in a
+// priority queue.
 //
 // A Runner is not safe for concurrent use.
 type Runner[T any] struct {
 	slots          int
 	running        int
+	pacer          Pacer
 	queue          *queue.Queue[*Request[T]]
 	serviceTime    time.Duration // weighted mean of recent runs
 	epoch          time.Time     // reference time of startOffsetSum
@@ -66,8 +95,12 @@
 }
 
 // New returns a runner without requests.
-func New[T any]() *Runner[T] {
-	return &Runner[T]{slots: defaultSlots, queue: queue.New[*Request[T]]()}
+func New[T any](options ...Option) *Runner[T] {
+	c := config{pacer: unpaced{}}
+	for _, o := range options {
+		o(&c)
+	}
+	return &Runner[T]{slots: defaultSlots, pacer: c.pacer, queue: queue.New[*Request[T]]()}
 }
 
 // SetSlots sets the number of slots that the server has announced. Values below
@@ -81,11 +114,28 @@
 // Limit returns the maximum number of concurrent requests.
 func (r *Runner[T]) Limit() int { return max(1, int(slotUtilization*float64(r.slots))) }
 
+// Capacity returns the number of concurrent requests that the server can sustain:
+// the maximum or, if the rate of new requests is limited, those that run at once
+// at that rate (Little's law). Other nodes compare servers by it.
+func (r *Runner[T]) Capacity() int {
+	rate, ok := r.pacer.Rate()
+	if !ok {
+		return r.Limit()
+	}
+	return min(r.Limit(), max(1, int(math.Ceil(rate*r.serviceTime.Seconds()))))
+}
+
+// IsPaced reports whether the rate of new requests is limited.
+func (r *Runner[T]) IsPaced() bool {
+	_, ok := r.pacer.Rate()
+	return ok
+}
+
 // Offer starts, queues or refuses req. If a queued request was evicted in favor
 // of req, it is returned, and the caller has to refuse it.
 func (r *Runner[T]) Offer(now time.Time, req *Request[T]) (decision Decision, evicted *Request[T]) {
 	req.arrived = now
-	if r.running < r.Limit() && r.queue.Len() == 0 {
+	if r.running < r.Limit() && r.queue.Len() == 0 && r.pacer.Delay(now) == 0 {
 		r.start(now, req)
 		return Started, nil
 	}
@@ -106,12 +156,12 @@
 }
 
 // queueLimit returns the maximum queue length.
-func (r *Runner[T]) queueLimit() int { return 4 * r.Limit() }
+func (r *Runner[T]) queueLimit() int { return 4 * r.Capacity() }
 
 // missesDeadline reports whether req is expected to miss its deadline even if
-// it starts immediately.
+// it is the next to start.
 func (r *Runner[T]) missesDeadline(now time.Time, req *Request[T]) bool {
-	return now.Add(r.serviceTime).After(req.Expires)
+	return now.Add(r.pacer.Delay(now) + r.serviceTime).After(req.Expires)
 }
 
 func (r *Runner[T]) start(now time.Time, req *Request[T]) {
@@ -120,13 +170,14 @@
 	}
 	req.started, req.running = now, true
 	r.running++
+	r.pacer.Take(now)
 	r.startOffsetSum += now.Sub(r.epoch)
 }
 
 // Next starts the first queued request and returns it. It returns nil if the
-// queue is empty or the concurrency limit is reached.
+// queue is empty or a limit is reached.
 func (r *Runner[T]) Next(now time.Time) *Request[T] {
-	if r.running >= r.Limit() {
+	if r.running >= r.Limit() || r.pacer.Delay(now) > 0 {
 		return nil
 	}
 	req, ok := r.queue.Pop()
