Take a backend server out of use that says in its answers that it leaves

Cause: the field Server-Leaving was read by nobody; a drain was taken from heartbeats and deregistrations only. Change: the node beside the server treats it like an announced drain, at once. Its answers tell the entry nodes, which keep the mark for that incarnation of the server in their registry and bring it back with offers, so that neither a restart of the node beside the server nor a lost announcement puts the server in use again.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -66,7 +66,7 @@
 		n.reply(refusal)
 		return
 	}
-	n.adoptIntake(now, o.Intake)
+	n.adoptNotice(now, o.Notice)
 	if reason := n.unavailability(now, o); reason != outcome.None {
 		refusal := n.refuseOffer(now, ex, reason)
 		n.mu.Unlock()
@@ -175,8 +175,8 @@
 	if isConnectionRefused(a.Err) {
 		n.recordCrash(now)
 		n.readiness.ConnectionRefused(now)
-		replies = n.applyReadiness(now, replies)
 	}
+	replies = n.applyReadiness(now, replies)
 	runnable := n.dequeueRunnable(now)
 	n.mu.Unlock()
 	n.reply(replies...)
@@ -265,7 +265,7 @@
 func (n *Node) setServerState(now time.Time, ex *execution, a *frame.Answer) {
 	a.Load = n.runner.Running() + n.runner.Queued()
 	a.Limit, a.Time = n.runner.Capacity(), n.runner.Time(now)
-	a.Intake = n.currentIntake()
+	a.Notice = n.currentNotice()
 	a.QueueDelay, a.CallRefused = ex.ticket.QueueTime(now)+ex.queueDelay, ex.overloaded
 }
 
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -104,7 +104,7 @@
 	n.mu.Lock()
 	n.registry.Drop(now, address)
 	n.roster.Remove(address)
-	delete(n.intakes, address)
+	delete(n.notices, address)
 	n.mu.Unlock()
 	n.mesh.Drop(address)
 }
@@ -251,13 +251,19 @@
 }
 
 // replacedLeaving returns the known entries with a leaving backend server that are
-// replaced by those of restarted nodes.
+// replaced by those of restarted nodes. A node that offers a server which is known
+// to leave gets its own entry with that state.
 func (n *Node) replacedLeaving(entries []registry.Entry) []registry.Entry {
 	var leaving []registry.Entry
 	for _, e := range entries {
 		old, ok := n.registry.Get(e.Node)
 		if ok && old.State == readiness.Draining && e.State != readiness.Draining && e.Incarnation > old.Incarnation {
 			leaving = append(leaving, old)
+			continue
+		}
+		if e.State == readiness.Ready && n.registry.IsLeaving(e) {
+			e.State, e.Revision = readiness.Draining, 0
+			leaving = append(leaving, e)
 		}
 	}
 	return leaving
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -98,7 +98,7 @@
 	sendCounts         [limitLogIntervals]int64 // requests sent until each of the last ticks
 	runner             *runner.Runner[*execution]
 	intake             *intake.Intake           // rate of the requests to the local backend server
-	intakes            map[string]*frame.Intake // limits that the servers of other nodes named, by node
+	notices            map[string]*frame.Notice // what the servers of nodes said of themselves, by node
 	callGraph          *callgraph.Graph
 	latencies          map[message.Route]*latency.Estimator
 	windows            map[message.Route]*window.Window
@@ -134,7 +134,7 @@
 		registry:         registry.New(),
 		readiness:        &readiness.Tracker{},
 		intake:           &intake.Intake{},
-		intakes:          make(map[string]*frame.Intake),
+		notices:          make(map[string]*frame.Notice),
 		callGraph:        callgraph.New(),
 		latencies:        make(map[message.Route]*latency.Estimator),
 		windows:          make(map[message.Route]*window.Window),
@@ -215,7 +215,7 @@
 	n.rosterRevision = changes
 	var candidates []roster.Candidate
 	for _, e := range n.registry.All() {
-		if e.Accepts(e.Service) {
+		if e.Accepts(e.Service) && !n.registry.IsLeaving(e) {
 			candidates = append(candidates, roster.Candidate{
 				Node: e.Node, Service: e.Service, Slots: e.Slots, SameDomain: e.Domain == n.self.Domain,
 			})
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -24,6 +24,9 @@
 		return
 	}
 	n.intake.Observe(now, ex.startedAt, a.Notice)
+	if a.Notice.Leaving {
+		n.readiness.MarkLeaving(ex.server)
+	}
 	if a.Notice == n.notice {
 		return
 	}
@@ -39,31 +42,44 @@
 	return a.Sent && a.Err == nil && a.Status != fasthttp.StatusMisdirectedRequest
 }
 
-// adoptIntake applies the limit of the local backend server that the sender of an
-// offer heard before this process started.
-func (n *Node) adoptIntake(now time.Time, i *frame.Intake) {
-	if i != nil && n.readiness.Last().Incarnation == (readiness.Incarnation{ID: i.ID, Born: i.Born}) {
-		n.intake.Adopt(now, i.Rate)
+// adoptNotice applies what the sender of an offer heard the local backend server
+// say before this process started.
+func (n *Node) adoptNotice(now time.Time, o *frame.Notice) {
+	if o == nil || o.Server() != n.readiness.Last().Incarnation {
+		return
+	}
+	if o.Notice.Limited {
+		n.intake.Adopt(now, o.Notice.Rate)
+	}
+	if o.Notice.Leaving {
+		n.readiness.MarkLeaving(o.Server())
 	}
 }
 
-// currentIntake returns the limit of the local backend server, or nil.
-func (n *Node) currentIntake() *frame.Intake {
-	rate, ok := n.intake.Rate()
-	if !ok {
+// currentNotice returns what holds of the local backend server by its answers, or
+// nil if it said nothing.
+func (n *Node) currentNotice() *frame.Notice {
+	server := n.readiness.Last().Incarnation
+	rate, limited := n.intake.Rate()
+	leaving := n.readiness.State() == readiness.Draining
+	if !limited && !leaving {
 		return nil
 	}
-	server := n.readiness.Last().Incarnation
-	return &frame.Intake{ID: server.ID, Born: server.Born, Rate: rate}
+	out := &frame.Notice{ID: server.ID, Born: server.Born}
+	out.Notice.Limited, out.Notice.Rate, out.Notice.Leaving = limited, rate, leaving
+	return out
 }
 
-// recordIntake keeps the limit that came with an answer of a node, or its end.
-func (n *Node) recordIntake(node string, i *frame.Intake) {
-	if i == nil {
-		delete(n.intakes, node)
+// recordPeerNotice keeps what came with an answer of a node, or its end.
+func (n *Node) recordPeerNotice(node string, o *frame.Notice) {
+	if o == nil {
+		delete(n.notices, node)
 		return
 	}
-	n.intakes[node] = i
+	n.notices[node] = o
+	if o.Notice.Leaving {
+		n.registry.MarkLeaving(node, o.Server())
+	}
 }
 
 // capacityReason returns the reason for refusing an offer that the local backend
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -40,7 +40,7 @@
 	node    string     // node that received the offer
 	link    *peer.Link // nil for the local backend server
 	sentAt  time.Time
-	intake  *frame.Intake // limit that the server has named, if any
+	notice  *frame.Notice // what the server has said of itself, if anything
 }
 
 // sendOffer offers a request to the best node that has not been tried. If there is
@@ -57,7 +57,7 @@
 			return reason
 		}
 		o := req.offer
-		o.ID, o.Wait, o.Sent, o.Intake = id, remaining, now.Sub(n.started), p.intake
+		o.ID, o.Wait, o.Sent, o.Notice = id, remaining, now.Sub(n.started), p.notice
 		if p.link == nil {
 			n.acceptOffer(now, nil, &o, req.body)
 			return outcome.None
@@ -83,7 +83,7 @@
 	case node == "" || req.offerCount >= maxOffersPerRequest:
 		return 0, nil, outcome.Overload
 	}
-	p := &pending{request: req, node: node, sentAt: now, intake: n.intakes[node]}
+	p := &pending{request: req, node: node, sentAt: now, notice: n.notices[node]}
 	if node != n.self.Node {
 		if p.link = n.mesh.Link(node); p.link == nil {
 			return 0, nil, outcome.Unavailable
@@ -157,7 +157,7 @@
 		return
 	}
 	n.removeOffer(a.ID, p)
-	n.recordIntake(p.node, a.Intake)
+	n.recordPeerNotice(p.node, a.Notice)
 	n.roster.RecordReport(now, p.node, roster.Report{
 		Load: a.Load, Limit: a.Limit, Time: a.Time, Failed: a.Sent && a.Outcome != outcome.Complete,
 	})
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/priority"
+	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/registry"
 )
 
@@ -73,7 +75,7 @@
 	Origin     string  // service of the instance that received the request
 	Content    uint64  // hash of host, method, path and body
 	Head       []byte  // request line and header fields
-	Intake     *Intake // limit that the sender heard the server name, if any
+	Notice     *Notice // what the sender heard the server say of itself, if anything
 }
 
 // Answer is the final reply to an offer.
@@ -92,17 +94,22 @@
 	Time        time.Duration // service time of a request at the server
 	HasFanout   bool
 	Fanout      []ServiceCalls // if HasFanout, the calls that one run of the route causes
-	Intake      *Intake        // limit that the server names, if any
+	Notice      *Notice        // what the server says of itself, if anything
 }
 
-// Intake is the limit that a backend server has named in its answers. It goes
-// with each answer while it is in force. The receiver sends it back with its
-// offers, so that a restarted node knows the limit before its server answers.
-type Intake struct {
-	_    struct{} `cbor:",toarray"`
-	ID   string   // ID of the server
-	Born int64    // start of the server, Unix milliseconds by its clock
-	Rate float64  // requests a second from all nodes together
+// Notice is what a backend server has said of itself in its answers. It goes with
+// each answer to an offer while it holds. The receiver sends it back with its own
+// offers, so that a restarted node knows it before its server answers.
+type Notice struct {
+	_      struct{} `cbor:",toarray"`
+	ID     string   // ID of the server
+	Born   int64    // start of the server, Unix milliseconds by its clock
+	Notice notice.Notice
+}
+
+// Server returns the incarnation of the server.
+func (n *Notice) Server() readiness.Incarnation {
+	return readiness.Incarnation{ID: n.ID, Born: n.Born}
 }
 
 // ServiceCalls is the mean number of calls to a service that one run causes,
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -40,6 +40,11 @@
 	return e.Service == service && e.State == readiness.Ready && !e.Stopping
 }
 
+// server returns the incarnation of the backend server.
+func (e Entry) server() readiness.Incarnation {
+	return readiness.Incarnation{ID: e.Instance, Born: e.Born}
+}
+
 // fingerprint returns a hash of the node, incarnation and revision. The three are
 // hashed together: if the revision entered by an exclusive or, the same change of
 // two entries would cancel out in the digest of a registry.
@@ -56,7 +61,8 @@
 type Registry struct {
 	entries map[string]Entry
 	removed map[string]removal
-	buckets [summaryBuckets]uint64 // digest of the entries of each bucket
+	leaving map[string][]readiness.Incarnation // latest servers of each node that are known to leave
+	buckets [summaryBuckets]uint64             // digest of the entries of each bucket
 	changes uint64
 }
 
@@ -72,7 +78,9 @@
 
 // New returns an empty registry.
 func New() *Registry {
-	return &Registry{entries: make(map[string]Entry), removed: make(map[string]removal)}
+	return &Registry{
+		entries: make(map[string]Entry), removed: make(map[string]removal), leaving: make(map[string][]readiness.Incarnation),
+	}
 }
 
 // Merge stores e if it is newer than the known entry of its node, and reports
@@ -95,9 +103,39 @@
 	*b ^= e.fingerprint()
 	r.entries[e.Node] = e
 	r.changes++
+	if e.State == readiness.Draining {
+		r.MarkLeaving(e.Node, e.server())
+	}
 	return true
 }
 
+// MarkLeaving records that a backend server of a node is going to shut down. The
+// mark outlasts the entry: a restarted node may offer the server again because it
+// does not know.
+func (r *Registry) MarkLeaving(node string, server readiness.Incarnation) {
+	servers := r.leaving[node]
+	if slices.Contains(servers, server) {
+		return
+	}
+	if len(servers) == maxLeavingPerNode {
+		servers = slices.Delete(servers, 0, 1)
+	}
+	r.leaving[node] = append(servers, server)
+	r.changes++
+}
+
+// maxLeavingPerNode is the number of leaving servers that are remembered for a
+// node.
+const maxLeavingPerNode = 4
+
+// IsLeaving reports whether the backend server of an entry, or a later start of
+// it, is known to leave.
+func (r *Registry) IsLeaving(e Entry) bool {
+	return slices.ContainsFunc(r.leaving[e.Node], func(s readiness.Incarnation) bool {
+		return s.ID == e.Instance && s.Born >= e.Born
+	})
+}
+
 // Drop removes the entry of an unreachable node.
 func (r *Registry) Drop(now time.Time, node string) {
 	e, ok := r.entries[node]
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -77,3 +77,37 @@
 	}
 	require.NotEqual(t, a.Digest(), b.Digest())
 }
+
+// Guards against requests to a leaving server whose restarted node offers it
+// again, and against a mark that outlasts the server.
+func TestLeavingServerOfRestartedNode(t *testing.T) {
+	r := registry.New()
+	ready := registry.Entry{Node: "a", Incarnation: 1, Revision: 1, Instance: "i-1", Born: 10, State: readiness.Ready}
+	r.Merge(start, ready)
+	require.False(t, r.IsLeaving(ready))
+	changes := r.Changes()
+	r.MarkLeaving("a", readiness.Incarnation{ID: "i-1", Born: 10})
+	require.NotEqual(t, changes, r.Changes(), "derived data is stale")
+	require.True(t, r.IsLeaving(ready))
+	ready.Incarnation = 2
+	r.Merge(start, ready)
+	require.True(t, r.IsLeaving(ready))
+	r.Drop(start, "a")
+	require.True(t, r.IsLeaving(ready))
+	next := ready
+	next.Born = 11
+	require.False(t, r.IsLeaving(next))
+	draining := next
+	draining.Incarnation, draining.State = 3, readiness.Draining
+	r.Merge(start, draining)
+	require.True(t, r.IsLeaving(next))
+	require.True(t, r.IsLeaving(ready), "the older server has ended")
+	r.MarkLeaving("a", readiness.Incarnation{ID: "i-1", Born: 10})
+	require.True(t, r.IsLeaving(next), "late news of the older server")
+	require.False(t, r.IsLeaving(registry.Entry{Node: "a", Instance: "i-2", Born: 5}), "another server at the address, by another clock")
+	for i := range 20 {
+		r.MarkLeaving("a", readiness.Incarnation{ID: "i-2", Born: int64(i)})
+	}
+	require.False(t, r.IsLeaving(next), "the memory is bounded")
+	require.True(t, r.IsLeaving(registry.Entry{Node: "a", Instance: "i-2", Born: 5}))
+}
