Log that the platform log came back from a copy

Change: the client of the store keeps the highest generation stated in answers of any status; events 622 (restored) and 623 (position lost), metric log_generation. No decision uses them.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -44,6 +44,8 @@
 	ConfigurationRejected = register(611, logrus.WarnLevel, "configuration rejected")
 	LogUnavailable        = register(620, logrus.WarnLevel, "platform log unavailable")
 	LogRecovered          = register(621, logrus.InfoLevel, "platform log available again")
+	LogRestored           = register(622, logrus.WarnLevel, "platform log restored from a copy")
+	LogPositionLost       = register(623, logrus.InfoLevel, "position not in the platform log")
 	EntryChanged          = register(630, logrus.InfoLevel, "node entry changed")
 	LinkOpened            = register(631, logrus.InfoLevel, "link opened")
 	LinkLost              = register(632, logrus.WarnLevel, "link lost")
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -110,5 +110,6 @@
 	line("server_limit", int64(n.runner.Limit()))
 	line("nodes", int64(n.registry.Len()))
 	line("links", int64(len(n.mesh.Links())))
+	line("log_generation", int64(n.logGeneration))
 	line("configuration_version", int64(n.digest().Version))
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -51,6 +51,9 @@
 	Newest(topic string) (records []keyed.Record, end int64, err error)
 	Read(topic string, from int64, wait time.Duration) (records []keyed.Record, end int64, err error)
 	Put(topic, key string, value []byte) error
+	// Generation returns a number that rises when the log has lost records that
+	// it had accepted, and 0 while it is unknown.
+	Generation() uint64
 }
 
 // PlatformAPI holds the decoders and names of the data that the operator and the
@@ -120,6 +123,7 @@
 	nestedCallEnd      time.Time // if stopping, time from which nested calls are refused
 	stopAnnouncedAt    time.Time // when the other nodes were told to send no more offers
 	logUnreadable      bool
+	logGeneration      uint64
 	entryChanged       chan struct{}
 }
 
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -73,6 +73,7 @@
 			continue
 		}
 		records, end, err := n.readLog(position)
+		n.recordGeneration()
 		if err == nil {
 			failures = n.recordReadSuccess(failures)
 			retry.reset()
@@ -81,6 +82,7 @@
 			continue
 		}
 		if n.platform.IsOffsetOutOfRange(err) {
+			n.journal.Write(event.LogPositionLost, logrus.Fields{"position": position})
 			position = -1
 			continue
 		}
@@ -93,6 +95,20 @@
 	}
 }
 
+// recordGeneration records the generation of the log.
+func (n *Node) recordGeneration() {
+	generation := (*n.log.Load()).Generation()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if generation <= n.logGeneration {
+		return
+	}
+	if n.logGeneration != 0 {
+		n.journal.Write(event.LogRestored, logrus.Fields{"generation": generation, "was": n.logGeneration})
+	}
+	n.logGeneration = generation
+}
+
 // readLog returns the records from the given position, or the newest record of
 // each key if the position is negative.
 func (n *Node) readLog(position int64) ([]keyed.Record, int64, error) {
