Read the newest records again after the log came back from a copy

In the test, a confirmed change of a route was not in force at any node, until the next one. Cause: a reader kept its offset over the restore. If no read failed in between, for example because the store was silent, and the offsets had reached its own again, what lay below was never read. Change: an offset holds in the generation in which it was read (pkg/cursor); a generation that changes before or during a read leads back to the newest records. Newest fails if the store came back between two pages.

--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -10,6 +10,7 @@
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/peer"
+	"github.com/papayapath/papayapath/pkg/cursor"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/keyed"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -63,30 +64,32 @@
 // a log reader of its failure domain.
 func (n *Node) watchConfiguration() {
 	var retry backoff
-	position, failures := int64(-1), 0
+	position, failures := cursor.New(), 0
 	for n.ctx.Err() == nil {
 		if !n.isLogReader() {
-			position = -1
+			position.Reset()
 			if !n.sleep(readerCheckInterval) {
 				return
 			}
 			continue
 		}
-		records, end, err := n.readLog(position)
+		log := *n.log.Load()
+		before := log.Generation()
+		from := position.Position(before)
+		records, end, err := n.readLog(log, from)
 		n.recordGeneration()
 		if err == nil {
 			failures = n.recordReadSuccess(failures)
 			retry.reset()
-			position = end
+			position.Advance(before, log.Generation(), end)
 			n.applyRecords(records)
 			continue
 		}
+		position.Reset()
 		if n.platform.IsOffsetOutOfRange(err) {
-			n.journal.Write(event.LogPositionLost, logrus.Fields{"position": position})
-			position = -1
+			n.journal.Write(event.LogPositionLost, logrus.Fields{"position": from})
 			continue
 		}
-		position = -1
 		failures++
 		n.recordReadFailure(failures, err)
 		if !n.sleep(retry.next()) {
@@ -110,10 +113,9 @@
 }
 
 // readLog returns the records from the given position, or the newest record of
-// each key if the position is negative.
-func (n *Node) readLog(position int64) ([]keyed.Record, int64, error) {
-	log := *n.log.Load()
-	if position < 0 {
+// each key if there is none.
+func (n *Node) readLog(log CompactedLog, position int64) ([]keyed.Record, int64, error) {
+	if position == cursor.None {
 		return log.Newest(n.platform.Topic)
 	}
 	return log.Read(n.platform.Topic, position, longPollTimeout)
