Write the entries of the nodes again after the log came back from a copy

In the test, a node that started after the restore found none of four running nodes, and answered 503 for as long as it was observed. Cause: an entry is written when it changes. One that was written after the copy was made is gone with the restore, and no node noticed; most nodes do not call the store at all. Change: digests between nodes carry the generation of the log. A node that hears of a higher one writes its entry again, after a random delay of up to 10 ms for each node known, and log readers read the entries of the others after that. Why it works: a restore is noticed by the readers, whose calls it ends, and spreads with digests; writing before reading means that of two nodes one finds the other.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -45,7 +45,7 @@
 		return logrus.Fields{"node": l.Address()}
 	})
 	n.mu.Lock()
-	digest := frame.Digest{Version: n.digest().Version}
+	digest := frame.Digest{Version: n.digest().Version, Generation: n.logGeneration}
 	entries := []registry.Entry{n.self}
 	if e, ok := n.registry.Get(l.Address()); ok {
 		entries = append(entries, e)
@@ -175,7 +175,7 @@
 
 // digest returns the digest of the node entries and the configuration version.
 func (n *Node) digest() frame.Digest {
-	d := frame.Digest{Entries: n.registry.Digest()}
+	d := frame.Digest{Entries: n.registry.Digest(), Generation: n.logGeneration}
 	if t := n.table.Load(); t != nil {
 		d.Version = t.Version()
 	}
@@ -188,6 +188,7 @@
 // others at once, and each would send it.
 func (n *Node) reconcile(now time.Time, l *peer.Link, d frame.Digest) {
 	n.mu.Lock()
+	n.observeGeneration(d.Generation)
 	local := n.digest()
 	rawConfiguration := n.rawConfiguration
 	var summary []uint64
@@ -312,10 +313,7 @@
 			peer.Send(l, frame.KindEntries, frame.Entries{Entries: []registry.Entry{self}}, nil)
 		}
 	}()
-	select {
-	case n.entryChanged <- struct{}{}:
-	default:
-	}
+	n.signalEntryChange()
 }
 
 // runAntiEntropy periodically sends the digest to a random linked node. It also
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -75,19 +75,20 @@
 // Node accepts client requests and executes offers on the local backend server.
 // Create it with New and start it with Run.
 type Node struct {
-	env        *environment.Environment
-	codec      HeaderCodec
-	platform   PlatformAPI
-	journal    *journal.Journal
-	stats      *stats
-	mesh       *peer.Mesh
-	pool       *upstream.Pool
-	clients    *ingress.Server
-	ctx        context.Context
-	started    time.Time // origin of the clock readings in offers
-	log        atomic.Pointer[CompactedLog]
-	table      atomic.Pointer[routing.Table]
-	offerCount atomic.Uint64 // number of offers sent, and ID of the latest
+	env          *environment.Environment
+	codec        HeaderCodec
+	platform     PlatformAPI
+	journal      *journal.Journal
+	stats        *stats
+	mesh         *peer.Mesh
+	pool         *upstream.Pool
+	clients      *ingress.Server
+	ctx          context.Context
+	started      time.Time // origin of the clock readings in offers
+	log          atomic.Pointer[CompactedLog]
+	table        atomic.Pointer[routing.Table]
+	offerCount   atomic.Uint64 // number of offers sent, and ID of the latest
+	rewriteEntry atomic.Bool   // the platform log may have lost the local entry
 
 	mu                 sync.Mutex
 	rawConfiguration   []byte // encoded configuration in force
@@ -123,7 +124,7 @@
 	nestedCallEnd      time.Time // if stopping, time from which nested calls are refused
 	stopAnnouncedAt    time.Time // when the other nodes were told to send no more offers
 	logUnreadable      bool
-	logGeneration      uint64
+	logGeneration      uint64 // highest generation of the platform log heard of
 	entryChanged       chan struct{}
 }
 
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -36,6 +36,10 @@
 	// domains are told of a new configuration. It exceeds the time in which the
 	// log readers of a domain read it and its other nodes request it.
 	remoteAnnouncementDelay = 600 * time.Millisecond
+	// rewriteInterval is the mean interval between the writes of all nodes after
+	// the log came back from a copy. It keeps them to a part of the writes that
+	// the log takes in a second.
+	rewriteInterval = 10 * time.Millisecond
 )
 
 // backoff computes exponential retry delays with jitter.
@@ -98,18 +102,50 @@
 	}
 }
 
-// recordGeneration records the generation of the log.
+// recordGeneration records the generation that the log states. If it has risen,
+// the other nodes of the failure domain are told at once, and all others learn of
+// it with the periodic digests.
 func (n *Node) recordGeneration() {
-	generation := (*n.log.Load()).Generation()
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	restored := n.observeGeneration((*n.log.Load()).Generation())
+	d := frame.Digest{Version: n.digest().Version, Generation: n.logGeneration}
+	n.mu.Unlock()
+	if restored {
+		n.sendDigest(d, true)
+	}
+}
+
+// observeGeneration records a generation of the log, and reports whether the log
+// has come back from a copy. The entry of this node may be gone then, so it is
+// written again. The caller must hold n.mu.
+func (n *Node) observeGeneration(generation uint64) (restored bool) {
 	if generation <= n.logGeneration {
-		return
+		return false
 	}
-	if n.logGeneration != 0 {
+	restored = n.logGeneration != 0
+	if restored {
 		n.journal.Write(event.LogRestored, logrus.Fields{"generation": generation, "was": n.logGeneration})
+		n.scheduleRewrite()
 	}
 	n.logGeneration = generation
+	return restored
+}
+
+// scheduleRewrite writes the local entry to the log again after a random delay,
+// which spreads the writes of all nodes. The caller must hold n.mu.
+func (n *Node) scheduleRewrite() {
+	time.AfterFunc(rand.N(time.Duration(n.registry.Len())*rewriteInterval), func() {
+		n.rewriteEntry.Store(true)
+		n.signalEntryChange()
+	})
+}
+
+// signalEntryChange has maintainEntry write the local entry.
+func (n *Node) signalEntryChange() {
+	select {
+	case n.entryChanged <- struct{}{}:
+	default:
+	}
 }
 
 // readLog returns the records from the given position, or the newest record of
@@ -212,8 +248,10 @@
 	}
 }
 
-// maintainEntry writes the local entry to the log whenever it changes. After the
-// first successful write it reads the entries of the other nodes.
+// maintainEntry writes the local entry to the log whenever it changes, or when the
+// log may have lost it. After the first write, and as a log reader after each one
+// that follows a loss, it reads the entries of the other nodes: of two nodes that
+// write and then read, one at least finds the other.
 func (n *Node) maintainEntry() {
 	var retry backoff
 	peersKnown := false
@@ -224,8 +262,12 @@
 			return
 		case <-n.entryChanged:
 		}
+		if n.rewriteEntry.Swap(false) && n.isLogReader() {
+			peersKnown = false
+		}
 		for {
 			err := n.writeEntry()
+			n.recordGeneration()
 			if err == nil && !peersKnown {
 				err = n.readEntries()
 				peersKnown = err == nil
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -139,6 +139,9 @@
 	Entries uint64   // digest of the registry, or 0 to compare only the version
 	Version uint64   // configuration version, or 0 if there is none
 	Request bool     // the receiver sends its configuration if it is newer
+	// Generation is the highest generation of the platform log that the sender
+	// has heard of, 0 if none.
+	Generation uint64
 }
 
 // Summary answers a digest that differs from that of the sender. The receiver
