Keep a server's limit over refusals of its restarted node

Cause: an entry node took any answer without the limit for its end. A restarted node that refuses an offer before its server has answered does not know the limit, so the entry node forgot it, brought it back no more, and the restarted node began without one. Change: only a complete answer without the limit ends it. A leave that came with an offer is taken in also before the first heartbeat. Test: TestLimitOutlastsRefusals, fails before (the second offer after the refusal carries no limit).

--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -45,15 +45,15 @@
 // adoptNotice applies what the sender of an offer heard the local backend server
 // say before this process started.
 func (n *Node) adoptNotice(now time.Time, o *frame.Notice) {
-	if o == nil || o.Server() != n.readiness.Last().Incarnation {
+	if o == nil {
 		return
 	}
-	if o.Notice.Limited {
-		n.intake.Adopt(now, o.Notice.Rate)
-	}
 	if o.Notice.Leaving {
 		n.readiness.MarkLeaving(o.Server())
 	}
+	if o.Notice.Limited && o.Server() == n.readiness.Last().Incarnation {
+		n.intake.Adopt(now, o.Notice.Rate)
+	}
 }
 
 // currentNotice returns what holds of the local backend server by its answers, or
@@ -70,15 +70,18 @@
 	return out
 }
 
-// recordPeerNotice keeps what came with an answer of a node, or its end.
-func (n *Node) recordPeerNotice(node string, o *frame.Notice) {
-	if o == nil {
+// recordPeerNotice keeps what a server said of itself by an answer of its node. It
+// ends with an answer of the server without it, not with a refusal: a node that
+// has been restarted may not know.
+func (n *Node) recordPeerNotice(node string, a *frame.Answer) {
+	switch o := a.Notice; {
+	case o != nil:
+		n.notices[node] = o
+		if o.Notice.Leaving {
+			n.registry.MarkLeaving(node, o.Server())
+		}
+	case a.Outcome == outcome.Complete:
 		delete(n.notices, node)
-		return
-	}
-	n.notices[node] = o
-	if o.Notice.Leaving {
-		n.registry.MarkLeaving(node, o.Server())
 	}
 }
 
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -157,7 +157,7 @@
 		return
 	}
 	n.removeOffer(a.ID, p)
-	n.recordPeerNotice(p.node, a.Notice)
+	n.recordPeerNotice(p.node, a)
 	n.roster.RecordReport(now, p.node, roster.Report{
 		Load: a.Load, Limit: a.Limit, Time: a.Time, Failed: a.Sent && a.Outcome != outcome.Complete,
 	})
