Refuse the heartbeats of a server that deregistered at a restarted node

What callers could see: requests to a server that had left. Cause: a deregistration carries the ID only. A node restarted just before had no heartbeat to tell the start of the server, so that late heartbeats counted as those of another start; a lying health check or three of them put the server in use again. Change: such a deregistration covers all starts until now. Test: TestDeregistrationBeforeHeartbeats, fails before.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -79,7 +79,7 @@
 func (n *Node) handleDeregistration(id string) {
 	now := time.Now()
 	n.mu.Lock()
-	n.readiness.Deregister(id)
+	n.readiness.Deregister(now, id)
 	replies := n.applyReadiness(now, nil)
 	n.mu.Unlock()
 	n.reply(replies...)
--- a/pkg/readiness/readiness.go
+++ b/pkg/readiness/readiness.go
@@ -45,14 +45,17 @@
 // the newest. The zero value knows of no server. It is not safe for concurrent
 // use.
 type Tracker struct {
-	state       State
-	last        Heartbeat
-	lastSeen    time.Time
-	leaving     Incarnation // newest incarnation known to be leaving
-	consecutive int         // consecutive heartbeats of an incarnation not yet confirmed
-	unreachable bool        // connections to the server are refused
-	stopped     bool        // a draining server stopped sending heartbeats and refuses connections
-	revision    uint64
+	state    State
+	last     Heartbeat
+	lastSeen time.Time
+	leaving  Incarnation // newest incarnation known to be leaving
+	// deregistered is a server that deregistered before any heartbeat of it
+	// arrived, with the latest start that is meant.
+	deregistered Incarnation
+	consecutive  int  // consecutive heartbeats of an incarnation not yet confirmed
+	unreachable  bool // connections to the server are refused
+	stopped      bool // a draining server stopped sending heartbeats and refuses connections
+	revision     uint64
 }
 
 // Observe records a heartbeat. It reports whether the server needs a health
@@ -85,7 +88,7 @@
 // by an incarnation that is leaving or was replaced.
 func (t *Tracker) isStale(h Heartbeat) bool {
 	switch {
-	case h.Incarnation == t.leaving:
+	case h.Incarnation == t.leaving, h.ID == t.deregistered.ID && h.Born <= t.deregistered.Born:
 		return !h.Draining
 	case h.Incarnation == t.last.Incarnation:
 		return h.Sequence <= t.last.Sequence
@@ -100,8 +103,13 @@
 	}
 }
 
-// Deregister records that the server id deregistered.
-func (t *Tracker) Deregister(id string) {
+// Deregister records that the server id deregistered. A deregistration does not
+// tell the start of the server. If no heartbeat has told it either, all starts
+// before now are meant: their heartbeats may still arrive.
+func (t *Tracker) Deregister(now time.Time, id string) {
+	if t.last.ID != id || t.last.Born == 0 {
+		t.deregistered = Incarnation{ID: id, Born: now.UnixMilli()}
+	}
 	if t.last.ID == id || t.last.ID == "" {
 		t.last.ID = id
 		t.drain()
--- a/pkg/readiness/readiness_test.go
+++ b/pkg/readiness/readiness_test.go
@@ -66,9 +66,9 @@
 // still receives requests.
 func TestDeregistrationDrains(t *testing.T) {
 	tr := ready()
-	tr.Deregister("other")
+	tr.Deregister(start, "other")
 	require.Equal(t, readiness.Ready, tr.State())
-	tr.Deregister("s")
+	tr.Deregister(start, "s")
 	require.Equal(t, readiness.Draining, tr.State())
 }
 
@@ -107,3 +107,21 @@
 	tr.RecordHealthCheck("s", true)
 	require.Equal(t, readiness.Ready, tr.State())
 }
+
+// Guards against a server that is used again because its deregistration reached a
+// restarted node before the heartbeats that were sent earlier.
+func TestDeregistrationBeforeHeartbeats(t *testing.T) {
+	born := start.Add(-time.Second).UnixMilli()
+	for name, tr := range map[string]*readiness.Tracker{"restarted node": {}, "server before": ready()} {
+		tr.Deregister(start, "left")
+		for i := range int64(5) {
+			require.False(t, tr.Observe(start, heartbeat("left", born, i+1, false)), name)
+			tr.RecordHealthCheck("left", true)
+		}
+		require.False(t, tr.State() == readiness.Ready && tr.Last().ID == "left", name)
+		again := heartbeat("left", start.Add(3*time.Second).UnixMilli(), 1, false)
+		require.True(t, tr.Observe(start.Add(4*time.Second), again), name)
+		tr.RecordHealthCheck("left", true)
+		require.Equal(t, readiness.Ready, tr.State(), "a later start under the same ID, %s", name)
+	}
+}
