Send a server with a limit no more than the share of each entry node

What callers saw: refusals for servers that name a limit although others of the service had room, the more the more entry nodes there are. Cause: an entry node forgets the load of a server after 2 s and tries it again. With 91 entry nodes that is many times what such a server takes. The excess waited for up to four service times, which closed the windows of its routes, and was then refused. Change: the load of a server with a limit is forgotten only after the time in which the even share of the node allows one request; a server that takes none now reports itself full; what does not start within a quarter of a service time is refused at once and goes elsewhere.

--- a/internal/lab/overload/node.go
+++ b/internal/lab/overload/node.go
@@ -7,7 +7,9 @@
 
 	"github.com/papayapath/papayapath/internal/lab/optimum"
 	"github.com/papayapath/papayapath/pkg/allowance"
+	"github.com/papayapath/papayapath/pkg/intake"
 	"github.com/papayapath/papayapath/pkg/latency"
+	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/runner"
@@ -33,6 +35,8 @@
 	domain          int
 	speed           float64
 	shed            float64
+	named           notice.Notice // what the server says in its answers
+	intake          *intake.Intake
 	expiryScheduled bool
 	runner          *runner.Runner[*run]
 	roster          *roster.Roster
@@ -44,13 +48,17 @@
 func newNode(sim *Simulation, v optimum.Service, index int) *node {
 	n := &node{
 		simulation: sim, name: fmt.Sprintf("%s-%d", v.Name, index), service: v.Name, domain: index % failureDomains, speed: v.Speed,
-		runner: runner.New[*run](), roster: roster.New(),
+		intake: &intake.Intake{}, roster: roster.New(),
 		windows: make(map[*class]*window.Window), latencies: make(map[*class]*latency.Estimator),
 		allowances: make(map[string]*allowance.Allowance),
 	}
+	n.runner = runner.New[*run](runner.WithPacer(n.intake))
 	if n.speed == 0 {
 		n.speed = 1
 	}
+	if index < sim.pattern.LimitedServers && sim.pattern.LimitedService == v.Name {
+		n.named = notice.Notice{Limited: true, Rate: sim.pattern.ServerRate}
+	}
 	if index == 0 && sim.pattern.SlowService == v.Name {
 		n.speed /= sim.pattern.SlowFactor
 	}
--- a/internal/lab/overload/pattern.go
+++ b/internal/lab/overload/pattern.go
@@ -22,6 +22,11 @@
 	// SheddingService has one server that sheds the fraction ShedFraction of its requests.
 	SheddingService string
 	ShedFraction    float64
+	// LimitedService has LimitedServers servers that take ServerRate requests a
+	// second each, as they say in their answers.
+	LimitedService string
+	LimitedServers int
+	ServerRate     float64
 }
 
 // PatternError reports a pattern that is invalid for a scenario.
@@ -49,6 +54,12 @@
 		return &PatternError{field: "slow", reason: "names the unknown service " + p.SlowService}
 	case !known[p.SheddingService]:
 		return &PatternError{field: "grey", reason: "names the unknown service " + p.SheddingService}
+	case !known[p.LimitedService]:
+		return &PatternError{field: "limited", reason: "names the unknown service " + p.LimitedService}
+	case p.LimitedService != "" && p.LimitedServers < 1:
+		return &PatternError{field: "limited-servers", reason: "must be at least 1"}
+	case p.ServerRate < 0:
+		return &PatternError{field: "server-rate", reason: "must not be negative"}
 	case p.SlowService != "" && p.SlowFactor < 1:
 		return &PatternError{field: "slow-by", reason: "must be at least 1"}
 	case p.ShedFraction < 0 || p.ShedFraction >= 1:
@@ -67,7 +78,7 @@
 
 // Limit returns the maximum worth that the slots and the retry budget of a
 // scenario allow under the pattern, as a fraction of the requested worth. A slow
-// server counts with its reduced speed. The error is a *PatternError or an
+// server counts with its reduced speed; the limits of servers do not count. The error is a *PatternError or an
 // *optimum.SolveError.
 func (p Pattern) Limit(s *optimum.Scenario) (float64, error) {
 	if err := p.validate(s); err != nil {
--- a/internal/lab/overload/server.go
+++ b/internal/lab/overload/server.go
@@ -38,6 +38,7 @@
 // run is an offer at the node of the backend server that executes it.
 type run struct {
 	call      *call
+	started   time.Time
 	ticket    runner.Request[*run]
 	reply     func(answer)
 	nextIndex int // index of the next nested call
@@ -77,15 +78,28 @@
 	now := n.simulation.Now()
 	r.reply(answer{
 		kind: k, delay: r.ticket.QueueTime(now) + r.delay, refused: r.refused,
-		report: roster.Report{Load: n.runner.Running() + n.runner.Queued(), Limit: n.runner.Limit(), Time: n.runner.Time(now)},
+		report: roster.Report{Load: n.runner.Load(now), Limit: n.runner.Capacity(), Time: n.runner.Time(now), Share: n.share()},
 	})
 }
 
+// share returns the even share of a node in the limit of the server, or 0.
+func (n *node) share() float64 {
+	rate, ok := n.intake.Rate()
+	if !ok {
+		return 0
+	}
+	return rate / float64(len(n.simulation.nodes))
+}
+
 // start begins a run on the backend server: first its own service time, then its
 // nested calls.
 func (n *node) start(r *run) {
 	sim := n.simulation
+	r.started = sim.Now()
 	sim.statistics.runs++
+	if n.named.Limited {
+		sim.statistics.limited[n.name] = append(sim.statistics.limited[n.name], r.started)
+	}
 	if n.shed > 0 && sim.random.Float64() < n.shed {
 		sim.AfterFunc(shedDelay, func() { n.end(r, shed) })
 		return
@@ -120,18 +134,27 @@
 func (n *node) end(r *run, k kind) {
 	now := n.simulation.Now()
 	n.runner.Done(now, &r.ticket, k == answered)
+	n.intake.Observe(now, r.started, n.named)
 	n.answer(r, k)
+	n.startQueued()
+}
+
+// startQueued starts the queued runs that the server takes now.
+func (n *node) startQueued() {
+	now := n.simulation.Now()
 	for t := n.runner.Next(now); t != nil; t = n.runner.Next(now) {
 		n.start(t.Value)
 	}
 }
 
-// expireQueued rejects queued requests that can no longer meet their deadline.
+// expireQueued rejects queued requests that can no longer meet their deadline, and
+// starts those that the server takes now.
 func (n *node) expireQueued() {
 	n.expiryScheduled = false
 	for _, t := range n.runner.Expire(n.simulation.Now(), nil) {
 		n.answer(t.Value, rejected)
 	}
+	n.startQueued()
 	if n.runner.Queued() > 0 {
 		n.scheduleExpiry()
 	}
--- a/internal/lab/overload/simulation.go
+++ b/internal/lab/overload/simulation.go
@@ -55,6 +55,7 @@
 		scenario:  s, pattern: p, random: rand.New(rand.NewPCG(seed, seed)),
 		classes: make(map[string]*class), nodesByName: make(map[string]*node),
 	}
+	sim.ResetStatistics()
 	if err := sim.addClasses(); err != nil {
 		return nil, err
 	}
@@ -110,10 +111,13 @@
 	requests, late              int
 	refused                     int
 	runs, wasted                int
+	limited                     map[string][]time.Time // starts of the runs at each server that names a limit
 }
 
 // ResetStatistics clears the statistics, such as at the end of a warm-up.
-func (sim *Simulation) ResetStatistics() { sim.statistics = Statistics{} }
+func (sim *Simulation) ResetStatistics() {
+	sim.statistics = Statistics{limited: make(map[string][]time.Time)}
+}
 
 // Statistics returns the statistics since the start or the last ResetStatistics.
 // A request is counted when it ends.
@@ -138,3 +142,19 @@
 // WastedRatio returns the fraction of the runs that failed because one of their
 // nested calls failed.
 func (s Statistics) WastedRatio() float64 { return float64(s.wasted) / float64(max(1, s.runs)) }
+
+// MostLimited returns the largest number of runs that a server which names a limit
+// began in some time of the given length, and 0 if there is no such server.
+func (s Statistics) MostLimited(window time.Duration) int {
+	most := 0
+	for _, starts := range s.limited {
+		first := 0
+		for last := range starts {
+			for starts[last].Sub(starts[first]) >= window {
+				first++
+			}
+			most = max(most, last-first+1)
+		}
+	}
+	return most
+}
--- a/internal/lab/overload/simulation_test.go
+++ b/internal/lab/overload/simulation_test.go
@@ -60,6 +60,34 @@
 	}
 }
 
+// Guards against servers that get more requests than the limit which they name,
+// with 13 and with 91 entry nodes, and against requests that are refused or late
+// for it while other servers of the service have room.
+func TestServersThatNameALimit(t *testing.T) {
+	const window, perSecond = 4 * time.Second, 5.0
+	for file, p := range map[string]overload.Pattern{
+		"regie.json":       {Load: 0.5, LimitedService: "proofs", LimitedServers: 2, ServerRate: perSecond},
+		"regie-large.json": {Load: 0.5, LimitedService: "catalogue", LimitedServers: 40, ServerRate: perSecond},
+	} {
+		s, err := document.Load[optimum.Scenario](filepath.Join("..", "..", "..", "examples", "loads", file))
+		require.NoError(t, err)
+		sim, err := overload.New(&s, p, 1)
+		require.NoError(t, err)
+		sim.Run(warmUp)
+		sim.ResetStatistics()
+		sim.Run(measuredTime)
+		limit, err := p.Limit(&s)
+		require.NoError(t, err)
+		statistics := sim.Statistics()
+		most := statistics.MostLimited(window)
+		t.Logf("%s: worth %.3f of %.3f, late %.3f, refused %.3f, at most %d requests in 4 s",
+			file, statistics.Worth(), limit, statistics.LateRatio(), statistics.RefusedRatio(), most)
+		require.LessOrEqual(t, float64(most), 1.5*perSecond*window.Seconds()+5)
+		require.Greater(t, float64(most), 0.5*perSecond*window.Seconds(), "the servers get what they take")
+		require.Greater(t, statistics.Worth(), minWorth*limit)
+	}
+}
+
 // Guards against a limit that ignores a slow or a shedding server, or assumes
 // more retries than the budget allows. If one of three servers sheds half of its
 // requests and the budget is 20%, the capacity of 2.5 servers remains.
@@ -89,6 +117,9 @@
 		"unknown service proof": {SlowService: "proof", SlowFactor: 2},
 		"unknown service check": {SheddingService: "check"},
 		"slow-by":               {SlowService: "calendars", SlowFactor: 0.5},
+		"unknown service moves": {LimitedService: "moves"},
+		"limited-servers":       {LimitedService: "calendars"},
+		"server-rate":           {ServerRate: -1},
 		"shed":                  {SheddingService: "calendars", ShedFraction: 1},
 	} {
 		_, err := overload.New(s, p, 1)
--- a/internal/lab/program/overload.go
+++ b/internal/lab/program/overload.go
@@ -47,6 +47,9 @@
 	f.Float64Var(&c.pattern.SlowFactor, "slow-by", 4, "factor applied to the run times of the slow server")
 	f.StringVar(&c.pattern.SheddingService, "grey", "", "service with a server that sheds requests")
 	f.Float64Var(&c.pattern.ShedFraction, "shed", 0.5, "fraction of the requests that it sheds")
+	f.StringVar(&c.pattern.LimitedService, "limited", "", "service with servers that name a limit in their answers")
+	f.IntVar(&c.pattern.LimitedServers, "limited-servers", 1, "number of these servers")
+	f.Float64Var(&c.pattern.ServerRate, "server-rate", 10, "requests a second that each of them takes")
 	f.Uint64Var(&c.seed, "seed", 1, "seed of all random choices")
 	f.DurationVar(&c.warmUp, "warm-up", 5*time.Second, "virtual time before the measurement")
 	f.DurationVar(&c.measured, "time", 15*time.Second, "virtual time of the measurement")
@@ -82,6 +85,11 @@
 	world.ResetStatistics()
 	world.Run(c.measured)
 	figures := world.Statistics()
+	if c.pattern.LimitedService != "" {
+		if _, err := fmt.Fprintf(os.Stdout, "most requests in 4 s at a server with a limit %d\n", figures.MostLimited(4*time.Second)); err != nil {
+			return err
+		}
+	}
 	_, err = fmt.Fprintf(os.Stdout, "worth %.3f, limit %.3f, part %.3f\nlate %.3f, refused %.3f, runs wasted %.3f\n",
 		figures.Worth(), limit, figures.Worth()/limit, figures.LateRatio(), figures.RefusedRatio(), figures.WastedRatio())
 	return err
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -263,7 +263,7 @@
 // setServerState fills in the load of the local backend server and the queue delay
 // of the request, including that of its nested calls.
 func (n *Node) setServerState(now time.Time, ex *execution, a *frame.Answer) {
-	a.Load = n.runner.Running() + n.runner.Queued()
+	a.Load = n.runner.Load(now)
 	a.Limit, a.Time = n.runner.Capacity(), n.runner.Time(now)
 	a.Notice = n.currentNotice()
 	a.QueueDelay, a.CallRefused = ex.ticket.QueueTime(now)+ex.queueDelay, ex.overloaded
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -9,6 +9,7 @@
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/intake"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/readiness"
 )
@@ -85,6 +86,16 @@
 	}
 }
 
+// intakeShare returns the even share of this node in the limit of a node's server,
+// or 0 if there is none.
+func (n *Node) intakeShare(node string) float64 {
+	o := n.notices[node]
+	if o == nil || !o.Notice.Limited {
+		return 0
+	}
+	return max(o.Notice.Rate, intake.MinRate) / float64(n.registry.Len())
+}
+
 // capacityReason returns the reason for refusing an offer that the local backend
 // server cannot run in time.
 func (n *Node) capacityReason() outcome.Reason {
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -159,7 +159,7 @@
 	n.removeOffer(a.ID, p)
 	n.recordPeerNotice(p.node, a)
 	n.roster.RecordReport(now, p.node, roster.Report{
-		Load: a.Load, Limit: a.Limit, Time: a.Time, Failed: a.Sent && a.Outcome != outcome.Complete,
+		Load: a.Load, Limit: a.Limit, Time: a.Time, Share: n.intakeShare(p.node), Failed: a.Sent && a.Outcome != outcome.Complete,
 	})
 	p.request.queueDelay += a.QueueDelay
 	p.request.overloaded = p.request.overloaded || a.CallRefused
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -6,13 +6,14 @@
 	"github.com/papayapath/papayapath/pkg/notice"
 )
 
+// MinRate is the rate in requests a second at which a server gets requests that
+// names a lower limit. Without any request no answer would say that its need has
+// ended.
+const MinRate = 0.25
+
 const (
 	// burstTime is the time whose requests may be sent at once after a pause.
 	burstTime = 250 * time.Millisecond
-	// minRate is the rate in requests a second at which a server gets requests
-	// that names a lower limit. Without any request no answer would say that
-	// its need has ended.
-	minRate = 0.25
 	// confirmingAnswers is the number of consecutive answers without a limit
 	// that end it. Answers can overtake each other.
 	confirmingAnswers = 3
@@ -65,7 +66,7 @@
 	} else {
 		i.tokens, i.updated = tokens, now
 	}
-	i.limited, i.rate = true, max(rate, minRate)
+	i.limited, i.rate = true, max(rate, MinRate)
 }
 
 // advance adds the tokens of the time since the last update.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -19,6 +19,9 @@
 	Load  int           // running and queued requests
 	Limit int           // concurrency limit
 	Time  time.Duration // service time, without queueing
+	// Share is the even share of this node in the requests a second that the
+	// server takes from all nodes, or 0 if it names no limit.
+	Share float64
 	// Failed reports whether the server shed the request or broke off, which
 	// causes a retry or a lost request. A shedding server looks idle and fast
 	// and would otherwise attract more and more requests.
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -7,6 +7,9 @@
 	fullWeightAge = 200 * time.Millisecond
 	// loadExpiry is the age from which a reported load is ignored.
 	loadExpiry = 2 * time.Second
+	// maxLoadExpiry bounds the age from which the load of a server with a limit
+	// is ignored.
+	maxLoadExpiry = time.Minute
 	// penaltyExpiry is the age from which a reported service time or failure
 	// rate above the normal is ignored. It exceeds loadExpiry because probing a
 	// slow server costs a slow request.
@@ -67,7 +70,7 @@
 		serviceTime = typical + time.Duration(decay(age, fullWeightAge, penaltyExpiry)*float64(serviceTime-typical))
 	}
 	serviceTime = max(serviceTime, minServiceTime)
-	load := decay(age, fullWeightAge, loadExpiry)*float64(s.report.Load) + float64(s.sent)
+	load := decay(age, fullWeightAge, s.report.loadExpiry())*float64(s.report.Load) + float64(s.sent)
 	free := 1 - max(load, float64(s.inFlight))/float64(limit)
 	if free < minFreeFraction {
 		// Beyond the limit, each further request waits for another one.
@@ -98,3 +101,13 @@
 func decay(age, from, to time.Duration) float64 {
 	return max(0, min(1, 1-float64(age-from)/float64(to-from)))
 }
+
+// loadExpiry returns the age from which the reported load is ignored. If the
+// server names a limit, all nodes together would otherwise try it more often than
+// it takes requests, while other servers have room.
+func (r Report) loadExpiry() time.Duration {
+	if r.Share <= 0 {
+		return loadExpiry
+	}
+	return time.Duration(max(float64(loadExpiry), min(float64(maxLoadExpiry), float64(time.Second)/r.Share)))
+}
--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -14,6 +14,9 @@
 	slotUtilization = 0.94
 	// defaultSlots applies until a server announces its slots.
 	defaultSlots = 16
+	// pacedQueueTime is the longest wait for the limited rate of a server, in
+	// service times.
+	pacedQueueTime = 0.25
 	// serviceTimeWeight is the weight of one run in the mean service time.
 	serviceTimeWeight = 0.05
 )
@@ -125,6 +128,16 @@
 	return min(r.Limit(), max(1, int(math.Ceil(rate*r.serviceTime.Seconds()))))
 }
 
+// Load returns the number of running and queued requests. A server that takes no
+// request now because of its rate has the load of its capacity at least.
+func (r *Runner[T]) Load(now time.Time) int {
+	load := r.running + r.queue.Len()
+	if r.pacer.Delay(now) > 0 {
+		load = max(load, r.Capacity())
+	}
+	return load
+}
+
 // IsPaced reports whether the rate of new requests is limited.
 func (r *Runner[T]) IsPaced() bool {
 	_, ok := r.pacer.Rate()
@@ -143,8 +156,8 @@
 		return Refused, nil
 	}
 	if r.queue.Len() >= r.queueLimit() {
-		lowest, _ := r.queue.Lowest()
-		if lowest.Priority >= req.Priority {
+		lowest, ok := r.queue.Lowest()
+		if !ok || lowest.Priority >= req.Priority {
 			return Refused, nil
 		}
 		evicted, _ = r.queue.Evict()
@@ -155,8 +168,16 @@
 	return Queued, evicted
 }
 
-// queueLimit returns the maximum queue length.
-func (r *Runner[T]) queueLimit() int { return 4 * r.Capacity() }
+// queueLimit returns the maximum queue length. If the rate is limited, other
+// servers often have room, and the queue does not shorten with a faster service:
+// only requests that start within pacedQueueTime service times wait.
+func (r *Runner[T]) queueLimit() int {
+	limit := 4 * r.Limit()
+	if rate, ok := r.pacer.Rate(); ok {
+		limit = min(limit, int(pacedQueueTime*rate*r.serviceTime.Seconds()))
+	}
+	return limit
+}
 
 // missesDeadline reports whether req is expected to miss its deadline even if
 // it is the next to start.
--- a/pkg/runner/runner_test.go
+++ b/pkg/runner/runner_test.go
@@ -168,3 +168,50 @@
 	var req runner.Request[int]
 	require.Zero(t, req.QueueTime(time.Unix(1000, 0)))
 }
+
+// pacer allows a number of starts.
+type pacer struct {
+	allowed   int
+	perSecond float64
+}
+
+func (p *pacer) Delay(time.Time) time.Duration {
+	if p.allowed > 0 {
+		return 0
+	}
+	return time.Second / 2
+}
+func (p *pacer) Take(time.Time)        { p.allowed-- }
+func (p *pacer) Rate() (float64, bool) { return p.perSecond, true }
+
+// Guards against requests that are started beyond the rate of the server, that
+// wait long for it while other servers may have room, or that are queued although
+// they would start too late, and against a paced server that looks idle.
+func TestPacedRunner(t *testing.T) {
+	p := &pacer{allowed: 1, perSecond: 40}
+	r := runner.New[string](runner.WithPacer(p))
+	r.SetSlots(100)
+	first := newRequest("first", importance.Normal)
+	decision, _ := r.Offer(start, first)
+	require.Equal(t, runner.Started, decision)
+	decision, _ = r.Offer(start, newRequest("unknown service time", importance.Normal))
+	require.Equal(t, runner.Refused, decision)
+	end := start.Add(100 * time.Millisecond)
+	r.Done(end, first, true)
+	require.Equal(t, 4, r.Capacity(), "40 a second of 100 ms each")
+	require.Equal(t, 4, r.Load(end), "idle, but takes no request now")
+	decision, _ = r.Offer(end, newRequest("waits", importance.Normal))
+	require.Equal(t, runner.Queued, decision)
+	require.Nil(t, r.Next(end))
+	decision, _ = r.Offer(end, newRequest("too many", importance.Normal))
+	require.Equal(t, runner.Refused, decision)
+	decision, evicted := r.Offer(end, newRequest("urgent", importance.Critical))
+	require.Equal(t, runner.Queued, decision)
+	require.Equal(t, "waits", evicted.Value)
+	p.allowed = 1
+	require.Equal(t, "urgent", r.Next(end).Value)
+	late := newRequest("late", importance.Critical)
+	late.Expires = end.Add(500 * time.Millisecond)
+	decision, _ = r.Offer(end, late)
+	require.Equal(t, runner.Refused, decision)
+}
