--- a/internal/lab/overload/simulation_test.go
+++ b/internal/lab/overload/simulation_test.go
@@ -34,6 +34,19 @@
 	"all of them":  {Load: burst, Retries: 3, ImmediateRetries: true, SlowService: "calendars", SlowFactor: 4, SheddingService: "proofs", ShedFraction: 0.2},
 }
 
+// measure runs a scenario under a pattern. It returns the statistics after the
+// warm-up, and the limit of the worth.
+func measure(t *testing.T, s *optimum.Scenario, p overload.Pattern) (overload.Statistics, float64) {
+	sim, err := overload.New(s, p, 1)
+	require.NoError(t, err)
+	sim.Run(warmUp)
+	sim.ResetStatistics()
+	sim.Run(measuredTime)
+	limit, err := p.Limit(s)
+	require.NoError(t, err)
+	return sim.Statistics(), limit
+}
+
 // Guards against wasted work, rejections in the wrong priority order, queueing
 // delays beyond the objective and retry amplification. Each pattern must reach
 // 95% of the limit, with 13 and with 91 instances.
@@ -44,14 +57,7 @@
 		for name, p := range patterns {
 			t.Run(file+" "+name, func(t *testing.T) {
 				t.Parallel()
-				sim, err := overload.New(&s, p, 1)
-				require.NoError(t, err)
-				sim.Run(warmUp)
-				sim.ResetStatistics()
-				sim.Run(measuredTime)
-				limit, err := p.Limit(&s)
-				require.NoError(t, err)
-				statistics := sim.Statistics()
+				statistics, limit := measure(t, &s, p)
 				t.Logf("worth %.3f of %.3f (%.3f), late %.3f, refused %.3f, runs wasted %.3f",
 					statistics.Worth(), limit, statistics.Worth()/limit, statistics.LateRatio(), statistics.RefusedRatio(), statistics.WastedRatio())
 				require.Greater(t, statistics.Worth(), minWorth*limit)
@@ -71,14 +77,7 @@
 	} {
 		s, err := document.Load[optimum.Scenario](filepath.Join("..", "..", "..", "examples", "loads", file))
 		require.NoError(t, err)
-		sim, err := overload.New(&s, p, 1)
-		require.NoError(t, err)
-		sim.Run(warmUp)
-		sim.ResetStatistics()
-		sim.Run(measuredTime)
-		limit, err := p.Limit(&s)
-		require.NoError(t, err)
-		statistics := sim.Statistics()
+		statistics, limit := measure(t, &s, p)
 		most := statistics.MostLimited(window)
 		t.Logf("%s: worth %.3f of %.3f, late %.3f, refused %.3f, at most %d requests in 4 s",
 			file, statistics.Worth(), limit, statistics.LateRatio(), statistics.RefusedRatio(), most)
