Reword comments on limits and leaves

For readers who do not know the mechanism: what MinRate bounds, why the entry that is sent back has revision 0, when a notice is adopted. No behaviour changes; the tests of pkg/intake and pkg/registry pass.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -252,8 +252,8 @@
 }
 
 // replacedLeaving returns the known entries with a leaving backend server that are
-// replaced by those of restarted nodes. A node that offers a server which is known
-// to leave gets its own entry with that state.
+// replaced by those of restarted nodes. For an entry with a ready server that is
+// known to leave, it returns that entry with the state draining.
 func (n *Node) replacedLeaving(entries []registry.Entry) []registry.Entry {
 	var leaving []registry.Entry
 	for _, e := range entries {
@@ -263,6 +263,7 @@
 			continue
 		}
 		if e.State == readiness.Ready && n.registry.IsLeaving(e) {
+			// Revision 0 is older than any entry of the node, which keeps its own.
 			e.State, e.Revision = readiness.Draining, 0
 			leaving = append(leaving, e)
 		}
--- a/internal/sidecar/notice.go
+++ b/internal/sidecar/notice.go
@@ -43,8 +43,8 @@
 	return a.Sent && a.Err == nil && a.Status != fasthttp.StatusMisdirectedRequest
 }
 
-// adoptNotice applies what the sender of an offer heard the local backend server
-// say before this process started.
+// adoptNotice applies what the sender of an offer has heard the local backend
+// server say, which this process may not know if it was restarted.
 func (n *Node) adoptNotice(now time.Time, o *frame.Notice) {
 	if o == nil {
 		return
--- a/pkg/intake/intake.go
+++ b/pkg/intake/intake.go
@@ -6,9 +6,8 @@
 	"github.com/papayapath/papayapath/pkg/notice"
 )
 
-// MinRate is the rate in requests a second at which a server gets requests that
-// names a lower limit. Without any request no answer would say that its need has
-// ended.
+// MinRate is the lowest rate, in requests a second, that is used, even if a server
+// names a lower limit: without any request no answer could say that it has ended.
 const MinRate = 0.25
 
 const (
