--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -346,12 +346,12 @@
 	}
 }
 
-// isLogReader reports whether this node reads the platform log. A node without a
-// configuration always reads. Otherwise, of the nodes in the failure domain that
-// can read the log, the logReadersPerDomain with the lowest address hashes do so.
-func (n *Node) isLogReader() bool {
+// logReaderRank returns how many nodes of the failure domain that can read the
+// platform log have a lower address hash. The logReadersPerDomain first read it. A
+// node without a configuration has rank 0.
+func (n *Node) logReaderRank() int {
 	if n.table.Load() == nil {
-		return true
+		return 0
 	}
 	links := n.mesh.Links()
 	n.mu.Lock()
@@ -364,5 +364,5 @@
 			preferred++
 		}
 	}
-	return preferred < logReadersPerDomain
+	return preferred
 }
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -22,6 +22,11 @@
 	// longPollTimeout is how long the log holds a read that has no records to
 	// return. The cost of a read does not depend on this time.
 	longPollTimeout = 15 * time.Second
+	// watchTimeout is the same for the first reader of each failure domain. A
+	// connection can go silent unnoticed while new ones work; a read that is sent
+	// anew this often brings a configuration in the time in which it has to be in
+	// force, 2 s or more.
+	watchTimeout = 800 * time.Millisecond
 	// minBackoff and maxBackoff bound the delay before the log is called again
 	// after a failure. The delay doubles with each consecutive failure.
 	minBackoff = 100 * time.Millisecond
@@ -70,7 +75,8 @@
 	var retry backoff
 	position, failures := cursor.New(), 0
 	for n.ctx.Err() == nil {
-		if !n.isLogReader() {
+		rank := n.logReaderRank()
+		if rank >= logReadersPerDomain {
 			position.Reset()
 			if !n.sleep(readerCheckInterval) {
 				return
@@ -80,7 +86,7 @@
 		log := *n.log.Load()
 		before := log.Generation()
 		from := position.Position(before)
-		records, end, err := n.readLog(log, from)
+		records, end, err := n.readLog(log, from, pollTimeout(rank))
 		n.recordGeneration()
 		if err == nil {
 			failures = n.recordReadSuccess(failures)
@@ -149,12 +155,20 @@
 }
 
 // readLog returns the records from the given position, or the newest record of
-// each key if there is none.
-func (n *Node) readLog(log CompactedLog, position int64) ([]keyed.Record, int64, error) {
+// each key if there is none. It waits for records for the given time.
+func (n *Node) readLog(log CompactedLog, position int64, wait time.Duration) ([]keyed.Record, int64, error) {
 	if position == cursor.None {
 		return log.Newest(n.platform.Topic)
 	}
-	return log.Read(n.platform.Topic, position, longPollTimeout)
+	return log.Read(n.platform.Topic, position, wait)
+}
+
+// pollTimeout returns how long a reader of the given rank waits for records.
+func pollTimeout(rank int) time.Duration {
+	if rank == 0 {
+		return watchTimeout
+	}
+	return longPollTimeout
 }
 
 func (n *Node) applyRecords(records []keyed.Record) {
@@ -262,7 +276,7 @@
 			return
 		case <-n.entryChanged:
 		}
-		if n.rewriteEntry.Swap(false) && n.isLogReader() {
+		if n.rewriteEntry.Swap(false) && n.logReaderRank() < logReadersPerDomain {
 			peersKnown = false
 		}
 		for {
