--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -23,16 +23,13 @@
 	Body                   []byte
 	Deadline               time.Duration
 
-	Node     string    // address it was sent to
-	Sent     time.Time // when its last byte was sent
-	Ended    time.Time
-	Kept     bool // it was sent on a connection that had served another one
-	Status   int  // 0 without a complete answer
-	Seal     string
-	Answer   []byte
-	Answered string // Request-Id of the answer
-	Closed   bool   // the node ended the connection without a complete answer
-	Failure  error
+	Node    string    // address it was sent to
+	Sent    time.Time // when its last byte was sent
+	Ended   time.Time
+	Kept    bool // it was sent on a connection that had served another one
+	Status  int  // 0 without a complete answer
+	Closed  bool // the node ended the connection without a complete answer
+	Failure error
 }
 
 // Client sends requests to one node over kept connections.
@@ -105,12 +102,10 @@
 	if err != nil {
 		return false, err
 	}
-	body, err := io.ReadAll(resp.Body)
-	if err != nil {
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return false, err
 	}
-	a.Status, a.Answer = resp.StatusCode, body
-	a.Seal, a.Answered = resp.Header.Get("Server-Seal"), resp.Header.Get("Request-Id")
+	a.Status = resp.StatusCode
 	return !resp.Close && !strings.EqualFold(resp.Header.Get("Connection"), "close"), nil
 }
 
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -38,7 +38,6 @@
 	servers          []*Server
 	clients          []*Client
 	out              []atomic.Bool // the machine's clients get no new work
-	ctx              context.Context
 	cancel           context.CancelFunc
 	attempts         atomic.Uint64
 
@@ -137,13 +136,13 @@
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	d.ctx, d.cancel = ctx, cancel
+	d.cancel = cancel
 	d.out = make([]atomic.Bool, len(d.nodes))
 	for i, n := range d.nodes {
 		if err := n.Start(d.Record); err != nil {
 			return err
 		}
-		if err := d.serve(ctx, d.servers[i]); err != nil {
+		if err := d.servers[i].Serve(ctx, d.Record); err != nil {
 			return err
 		}
 		d.clients = append(d.clients, NewClient(n.CallerAddress(), d.Record))
@@ -163,18 +162,6 @@
 	return nil
 }
 
-func (d *Deployment) serve(ctx context.Context, s *Server) error {
-	ctx, s.Shut = context.WithCancel(ctx)
-	return s.Serve(ctx, d.Record)
-}
-
-// Replace starts another server on a machine whose server has ended.
-func (d *Deployment) Replace(i int, s *Server) error {
-	s.Node = d.nodes[i]
-	d.servers[i] = s
-	return d.serve(d.ctx, s)
-}
-
 var readyClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 
 func isReady(n *Node) bool {
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -193,18 +193,6 @@
 	return pages * int64(os.Getpagesize())
 }
 
-// Signal sends a signal to the process. A signal that ends it is one that the case
-// asked for.
-func (n *Node) Signal(s syscall.Signal) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	if s == syscall.SIGTERM || s == syscall.SIGKILL {
-		n.asked = true
-	}
-	n.record.Printf("node %s gets signal %v", n.IP, s)
-	n.command.Process.Signal(s) //nolint:errcheck // it may have ended
-}
-
 // Burst sends signals with the given pauses between them, and returns the time of
 // the last one. A SIGTERM among them starts the grace period, at whose end the
 // process is killed.
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -29,12 +29,8 @@
 
 // Run is one run of a request on a server.
 type Run struct {
-	ID, Method, Path string
-	Caller           string // value of Caller-Service
-	BodyBytes        int
-	Node             string
-	Server           string
-	Start, End       time.Time
+	ID         string
+	Start, End time.Time // End is zero without a whole answer
 }
 
 // Server is a backend server.
@@ -44,26 +40,18 @@
 	Slots   int
 	Work    time.Duration // mean work of a request
 	Body    int           // bytes of an answer
-	Calls   []Call        // made by each run of a request under CallingPath
+	Calls   []Call        // made by each run of a request under Calling
 	Calling string        // prefix of the requests that make calls
 	// Fault, if not nil, may answer in the place of the server. It returns false
 	// if it does not.
 	Fault func(conn net.Conn, r *http.Request) bool
-	// Garble, if not nil, may write the answer in the place of the server. It
-	// returns whether it did and whether the connection is kept.
-	Garble func(conn net.Conn, status int, fields string, body []byte) (done, keep bool)
-
-	Gone bool   // the case has told it to leave
-	Shut func() // ends it
 
 	record   *Record
 	born     int64
-	draining atomic.Bool
 	sequence atomic.Int64
 	mu       sync.Mutex
 	runs     []Run
 	client   *Client
-	conns    map[net.Conn]struct{}
 }
 
 // Serve serves requests and sends heartbeats until ctx is done.
@@ -74,15 +62,9 @@
 	if err != nil {
 		return err
 	}
-	s.conns = make(map[net.Conn]struct{})
 	go func() {
 		<-ctx.Done()
 		ln.Close() //nolint:errcheck // the server ends
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		for conn := range s.conns {
-			conn.Close() //nolint:errcheck // the server ends
-		}
 	}()
 	go s.accept(ln)
 	go s.beat(ctx)
@@ -95,50 +77,37 @@
 		if err != nil {
 			return
 		}
-		s.mu.Lock()
-		s.conns[conn] = struct{}{}
-		s.mu.Unlock()
 		go s.serveConn(conn)
 	}
 }
 
 // serveConn serves one request at a time.
 func (s *Server) serveConn(conn net.Conn) {
-	defer func() {
-		conn.Close() //nolint:errcheck // the connection is discarded
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.conns, conn)
-	}()
+	defer conn.Close() //nolint:errcheck // the connection is discarded
 	r := bufio.NewReader(conn)
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
 			return
 		}
-		body, err := io.Copy(io.Discard, req.Body)
-		if err != nil || !s.answer(conn, req, int(body)) {
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		if !s.answer(conn, req) {
 			return
 		}
 	}
 }
 
-func (s *Server) answer(conn net.Conn, req *http.Request, body int) bool {
+func (s *Server) answer(conn net.Conn, req *http.Request) bool {
 	id := req.Header.Get("Request-Id")
 	switch {
 	case req.URL.Path == "/healthz":
-		status := http.StatusOK
-		if s.draining.Load() {
-			status = http.StatusServiceUnavailable
-		}
-		return write(conn, status, "Instance-Id: "+s.ID+"\r\n", nil)
+		return write(conn, http.StatusOK, "Instance-Id: "+s.ID+"\r\n", nil)
 	case req.Header.Get("Expect-Instance") != "" && req.Header.Get("Expect-Instance") != s.ID:
 		return write(conn, http.StatusMisdirectedRequest, "Request-Id: "+id+"\r\nInstance-Id: "+s.ID+"\r\n", nil)
 	}
-	run := Run{
-		ID: id, Method: req.Method, Path: req.URL.Path, Caller: req.Header.Get("Caller-Service"), BodyBytes: body,
-		Node: s.Node.IP, Server: s.ID, Start: time.Now(),
-	}
+	run := Run{ID: id, Start: time.Now()}
 	s.record.Printf("server %s runs %s", s.ID, id)
 	if s.Fault != nil && s.Fault(conn, req) {
 		s.record.Printf("server %s has answered %s with bytes without end", s.ID, id)
@@ -150,11 +119,6 @@
 	s.addRun(run)
 	s.record.Printf("server %s has run %s: %d", s.ID, id, status)
 	fields := fmt.Sprintf("Request-Id: %s\r\nServer-Seal: %s\r\n", id, Seal(s.ID, status, id))
-	if s.Garble != nil {
-		if done, keep := s.Garble(conn, status, fields, AnswerBody(id, s.Body)); done {
-			return keep
-		}
-	}
 	return write(conn, status, fields, AnswerBody(id, s.Body))
 }
 
@@ -215,7 +179,7 @@
 	ticker := time.NewTicker(heartbeatInterval)
 	defer ticker.Stop()
 	for {
-		s.Heartbeat()
+		s.heartbeat()
 		select {
 		case <-ctx.Done():
 			return
@@ -224,33 +188,22 @@
 	}
 }
 
-// Drain says that the server leaves, and reports whether that was acknowledged.
-func (s *Server) Drain() bool {
-	s.draining.Store(true)
-	return s.Heartbeat()
-}
-
-// Heartbeat sends a heartbeat and reports whether it was acknowledged.
-func (s *Server) Heartbeat() bool {
-	state := "ready"
-	if s.draining.Load() {
-		state = "draining"
-	}
-	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":%q,"cold_left_ms":0,"seq":%d,"born":%d}`,
-		s.Node.Service, s.Node.ServerAddress(), s.Node.Zone, s.Slots, state, s.sequence.Add(1), s.born)
+// heartbeat sends a heartbeat.
+func (s *Server) heartbeat() {
+	body := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":%d,"state":"ready","cold_left_ms":0,"seq":%d,"born":%d}`,
+		s.Node.Service, s.Node.ServerAddress(), s.Node.Zone, s.Slots, s.sequence.Add(1), s.born)
 	ctx, cancel := context.WithTimeout(context.Background(), heartbeatTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+s.Node.HeartbeatAddress()+"/instances/"+s.ID, strings.NewReader(body))
 	if err != nil {
-		return false
+		return
 	}
 	req.Header.Set("Content-Type", "application/json")
 	resp, err := heartbeatClient.Do(req)
 	if err != nil {
-		return false
+		return
 	}
 	resp.Body.Close() //nolint:errcheck // the body is not used
-	return resp.StatusCode == http.StatusOK
 }
 
 var heartbeatClient = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
