Report memory and the bytes of unfinished answers in the metrics

Change: metrics memory_live, memory_objects, memory_stacks, memory_mapped, memory_released, memory_collections and answer_bytes_reading.

--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	runtimemetrics "runtime/metrics"
 	"strconv"
 	"time"
 
@@ -103,6 +104,10 @@
 	for k := frame.Kind(1); k < frame.KindCount; k++ {
 		line("peer_bytes_sent_"+k.String(), int64(n.mesh.Traffic().Sent(k)))
 	}
+	line("answer_bytes_reading", n.pool.BytesReading())
+	for _, m := range readMemory() {
+		line(m.name, m.value)
+	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	line("server_running", int64(n.runner.Running()))
@@ -113,3 +118,36 @@
 	line("log_generation", int64(n.logGeneration))
 	line("configuration_version", int64(n.digest().Version))
 }
+
+// memoryMetrics are the metrics of the runtime that are reported, by their names
+// here. Their units are bytes and cycles.
+var memoryMetrics = [...]struct{ name, source string }{
+	{"memory_live", "/gc/heap/live:bytes"}, // in use at the last garbage collection
+	{"memory_objects", "/memory/classes/heap/objects:bytes"},
+	{"memory_stacks", "/memory/classes/heap/stacks:bytes"},
+	{"memory_mapped", "/memory/classes/total:bytes"},
+	{"memory_released", "/memory/classes/heap/released:bytes"}, // part of what is mapped
+	{"memory_collections", "/gc/cycles/total:gc-cycles"},
+}
+
+// memoryMetric is the value of one of memoryMetrics.
+type memoryMetric struct {
+	name  string
+	value int64
+}
+
+// readMemory returns the values of memoryMetrics.
+func readMemory() []memoryMetric {
+	samples := make([]runtimemetrics.Sample, len(memoryMetrics))
+	for i, m := range memoryMetrics {
+		samples[i].Name = m.source
+	}
+	runtimemetrics.Read(samples)
+	var values []memoryMetric
+	for i, s := range samples {
+		if s.Value.Kind() == runtimemetrics.KindUint64 {
+			values = append(values, memoryMetric{name: memoryMetrics[i].name, value: int64(s.Value.Uint64())})
+		}
+	}
+	return values
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -194,7 +194,7 @@
 // requests.
 func (c *conn) readAnswer(r *bufio.Reader, h *fasthttp.ResponseHeader, e *Exchange) (a *Answer, keep bool) {
 	for range maxStaleResponses + 1 {
-		body, err := readResponse(r, h, e.request.HeadOnly, c.pool.maxBody)
+		body, err := readResponse(r, h, e.request.HeadOnly, c.pool.maxBody, &c.pool.reading)
 		if err != nil {
 			return &Answer{Sent: true, Err: err}, false
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -7,6 +7,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -88,6 +89,7 @@
 	address string
 	codec   HeaderCodec
 	maxBody int
+	reading atomic.Int64 // bytes of the bodies that are being read
 
 	mu             sync.Mutex
 	idle           []*conn // ordered by last use, the most recent one last
@@ -284,6 +286,9 @@
 	return len(p.all), p.dialed, p.reused
 }
 
+// BytesReading returns the size of the responses' bodies that are being read.
+func (p *Pool) BytesReading() int64 { return p.reading.Load() }
+
 // CheckHealth requests the server's health check over a new connection and
 // passes the header of the response to read.
 func CheckHealth(ctx context.Context, address, path string, timeout time.Duration, read func(h *fasthttp.ResponseHeader)) error {
--- a/internal/upstream/response.go
+++ b/internal/upstream/response.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http/httputil"
+	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 
@@ -27,7 +28,7 @@
 // readResponse reads the header of the next final response into h and returns
 // its body, which belongs to the caller. Memory use follows the bytes received:
 // lengths that the server announces, and lines without end, allocate nothing.
-func readResponse(r *bufio.Reader, h *fasthttp.ResponseHeader, headOnly bool, maxBody int) ([]byte, error) {
+func readResponse(r *bufio.Reader, h *fasthttp.ResponseHeader, headOnly bool, maxBody int, reading *atomic.Int64) ([]byte, error) {
 	for range maxInterimResponses + 1 {
 		if err := readHeader(r, h); err != nil {
 			return nil, err
@@ -38,7 +39,9 @@
 		case headOnly || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
 			return nil, nil
 		default:
-			return readBody(r, h.ContentLength(), maxBody)
+			counted := &countingReader{reader: r, reading: reading}
+			defer counted.end()
+			return readBody(r, counted, h.ContentLength(), maxBody)
 		}
 	}
 	return nil, &ResponseError{reason: "follows too many interim responses"}
@@ -77,16 +80,18 @@
 
 // readBody reads a body of the given length. A chunked body has lengthChunked,
 // and a body that ends with its connection another negative length.
-func readBody(r *bufio.Reader, length, maxBody int) ([]byte, error) {
+func readBody(r *bufio.Reader, counted *countingReader, length, maxBody int) ([]byte, error) {
 	switch {
 	case length > maxBody:
 		return nil, fasthttp.ErrBodyTooLarge
 	case length >= 0:
-		return payload.Read(r, length)
+		return payload.Read(counted, length)
 	case length != lengthChunked:
-		return readAll(r, maxBody)
+		return readAll(counted, maxBody)
 	}
-	body, err := readAll(httputil.NewChunkedReader(r), maxBody)
+	// The chunked reader must not buffer bytes of its own beyond the body.
+	counted.reader = httputil.NewChunkedReader(r)
+	body, err := readAll(counted, maxBody)
 	if err != nil {
 		return nil, err
 	}
@@ -123,3 +128,20 @@
 	}
 	return &ResponseError{reason: "has too many trailer lines"}
 }
+
+// countingReader adds the bytes that it reads to reading until end is called.
+type countingReader struct {
+	reader  io.Reader
+	reading *atomic.Int64
+	count   int64
+}
+
+// Read implements io.Reader.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.reader.Read(p)
+	c.count += int64(n)
+	c.reading.Add(int64(n))
+	return n, err
+}
+
+func (c *countingReader) end() { c.reading.Add(-c.count) }
