--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -62,4 +62,5 @@
 	RequestRetried        = register(655, logrus.InfoLevel, "request sent to another server")
 	OfferRefused          = register(656, logrus.InfoLevel, "offer refused")
 	BackendRequestFailed  = register(657, logrus.WarnLevel, "run failed")
+	MemoryExhausted       = register(658, logrus.WarnLevel, "memory budget exhausted")
 )
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -16,6 +16,8 @@
 
 	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/framing"
+	"github.com/papayapath/papayapath/pkg/memory"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/routing"
 )
 
@@ -37,6 +39,12 @@
 	// lingerTimeout bounds the wait for a client to close its connection after
 	// the response to a malformed request.
 	lingerTimeout = 500 * time.Millisecond
+	// refusedBodyTimeout bounds the time in which a client that is refused for
+	// lack of memory sends the rest of its body.
+	refusedBodyTimeout = 10 * time.Second
+	// maxCopiedBody is the size up to which a body is copied behind its header for
+	// a single write.
+	maxCopiedBody = 16 << 10
 )
 
 // client is the connection of a client.
@@ -44,6 +52,7 @@
 	server *Server
 	conn   net.Conn
 	reader *bufio.Reader
+	claim  *memory.Claim // for the connection and its buffer
 
 	pipelined    atomic.Bool // bytes of a further request have arrived
 	readDeadline time.Time
@@ -53,13 +62,14 @@
 	closed bool
 }
 
-func newClient(s *Server, conn net.Conn) *client {
-	return &client{server: s, conn: conn}
+func newClient(s *Server, conn net.Conn, claim *memory.Claim) *client {
+	return &client{server: s, conn: conn, claim: claim}
 }
 
 // serve handles the requests of the connection sequentially.
 func (c *client) serve() {
 	defer c.server.remove(c)
+	defer c.claim.Release()
 	defer c.conn.Close() //nolint:errcheck // the connection is discarded
 	c.reader = bufio.NewReaderSize(c.conn, readBufferSize)
 	for c.serveRequest() {
@@ -83,16 +93,21 @@
 	}
 	receivedAt := time.Now()
 	req := fasthttp.AcquireRequest()
-	_, err := fault.Call(func() (struct{}, error) { return struct{}{}, c.receive(req, receivedAt, &limits) })
+	body, err := fault.Call(func() (*payload.Body, error) { return c.receive(req, receivedAt, &limits) })
 	if err != nil {
-		fasthttp.ReleaseRequest(req)
+		defer fasthttp.ReleaseRequest(req)
+		var exhausted *memory.ExhaustedError
+		if errors.As(err, &exhausted) {
+			return c.refuse(&req.Header, receivedAt, exhausted)
+		}
 		return c.rejectMalformed(err)
 	}
 	if !c.extendReadDeadline(receivedAt, limits.IdleTimeout) {
 		fasthttp.ReleaseRequest(req)
+		body.Release()
 		return false
 	}
-	return c.handleWatched(req, receivedAt)
+	return c.handleWatched(req, body, receivedAt)
 }
 
 // extendReadDeadline gives the client at least d from now to send its next
@@ -107,41 +122,65 @@
 	return c.conn.SetReadDeadline(c.readDeadline) == nil
 }
 
-// receive reads a request. It sets no deadline for a header section that has
-// arrived completely, as most have.
-func (c *client) receive(req *fasthttp.Request, now time.Time, limits *routing.Limits) error {
+// receive reads the header of a request into req and returns the body. It sets no
+// deadline for a header section that has arrived completely, as most have. An
+// *memory.ExhaustedError of the header section leaves the header empty.
+func (c *client) receive(req *fasthttp.Request, now time.Time, limits *routing.Limits) (*payload.Body, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) //nolint:errcheck // never fails for buffered bytes
 	if !bytes.Contains(buffered, headerEnd) && !c.extendReadDeadline(now, limits.HeaderTimeout) {
-		return net.ErrClosed
+		return nil, net.ErrClosed
 	}
 	err := req.Header.Read(c.reader)
 	var small *fasthttp.ErrSmallBuffer
 	maxHeader := limits.HeaderBytes
 	for size := 4 * readBufferSize; errors.As(err, &small) && size <= 2*max(maxHeader, 4*readBufferSize); size *= 2 {
-		c.growBuffer(size)
 		req.Header.Reset()
+		if err := c.growBuffer(size); err != nil {
+			return nil, err
+		}
 		err = req.Header.Read(c.reader)
 	}
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if err := framing.Check(req.Header.RawHeaders()); err != nil {
-		return err
+		return nil, err
+	}
+	length := req.Header.ContentLength()
+	if length == 0 || length == lengthIdentity {
+		return nil, nil
+	}
+	maxBody := limits.BodyBytes
+	if b := c.server.budget; b != nil {
+		// A larger body would be refused whenever it comes.
+		maxBody = min(maxBody, int(b.Limit()))
 	}
-	if req.Header.ContentLength() == 0 || req.Header.ContentLength() == -2 {
-		return nil
+	if length > maxBody {
+		return nil, payload.ErrTooLarge
 	}
 	if req.MayContinue() {
 		if _, err := c.conn.Write(continueLine); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	if c.reader.Buffered() < req.Header.ContentLength() || req.Header.ContentLength() < 0 {
+	if c.reader.Buffered() < length || length < 0 {
 		if !c.extendReadDeadline(now, bodyTimeout) {
-			return net.ErrClosed
+			return nil, net.ErrClosed
 		}
 	}
-	return req.ContinueReadBody(c.reader, limits.BodyBytes, false)
+	return framing.ReadBody(c.reader, length, maxBody, c.claimBody)
+}
+
+// lengthIdentity is the content length that fasthttp reports for a request without
+// a body.
+const lengthIdentity = -2
+
+// claimBody returns a claim on memory for the body of a request. If it is revoked,
+// reading ends.
+func (c *client) claimBody(bool) *memory.Claim {
+	return c.server.budget.Claim(memory.Request, memory.Unstarted, func() {
+		c.conn.SetReadDeadline(time.Unix(0, 1)) //nolint:errcheck // fails only for a closed connection
+	})
 }
 
 // headerEnd terminates the header section of a request.
@@ -151,10 +190,34 @@
 var continueLine = []byte("HTTP/1.1 100 Continue\r\n\r\n")
 
 // growBuffer replaces the read buffer by a larger one for a long header section.
-func (c *client) growBuffer(size int) {
+func (c *client) growBuffer(size int) error {
+	if err := c.claim.Grow(size); err != nil {
+		return err
+	}
 	unread, _ := c.reader.Peek(c.reader.Buffered()) //nolint:errcheck // never fails for buffered bytes
 	unread = append([]byte(nil), unread...)
 	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(unread), c.conn), size)
+	return nil
+}
+
+// refuse responds to a request for which there is no memory, and ends the
+// connection. It always returns false.
+func (c *client) refuse(h *fasthttp.RequestHeader, receivedAt time.Time, err *memory.ExhaustedError) bool {
+	if len(h.RawHeaders()) == 0 {
+		h = nil
+	}
+	response := c.server.handler.RefuseRequest(h, receivedAt, err)
+	c.write(&response, false, true)
+	c.linger(refusedBodyTimeout)
+	return false
+}
+
+// linger discards what the client still sends, for at most d. Closing with unread
+// bytes would reset the connection before the client has read the response.
+func (c *client) linger(d time.Duration) {
+	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil && c.conn.SetReadDeadline(time.Now().Add(d)) == nil {
+		io.Copy(io.Discard, c.conn) //nolint:errcheck // only waits for the client to close
+	}
 }
 
 // rejectMalformed responds to a request that cannot be read, and ends the
@@ -169,16 +232,11 @@
 	switch {
 	case errors.As(err, &small):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+	case errors.Is(err, payload.ErrTooLarge):
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
 	c.write(&Response{Status: status}, false, true)
-	// Closing with unread bytes would reset the connection before the client
-	// has read the response.
-	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil &&
-		c.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) == nil {
-		io.Copy(io.Discard, c.conn) //nolint:errcheck // only waits for the client to close
-	}
+	c.linger(lingerTimeout)
 	return false
 }
 
@@ -189,11 +247,11 @@
 
 // handleWatched handles a request in a goroutine of its own while it watches the
 // connection. It reports whether the connection stays open.
-func (c *client) handleWatched(req *fasthttp.Request, receivedAt time.Time) bool {
+func (c *client) handleWatched(req *fasthttp.Request, body *payload.Body, receivedAt time.Time) bool {
 	c.server.activeRequests.Add(1)
 	c.pipelined.Store(c.reader.Buffered() > 0)
 	disconnected, done := make(chan struct{}), make(chan bool, 1)
-	go c.handle(req, receivedAt, disconnected, done)
+	go c.handle(req, body, receivedAt, disconnected, done)
 	if c.watch(done) {
 		close(disconnected)
 		<-done
@@ -230,17 +288,19 @@
 
 // handle handles a request, writes the response and sends on done whether the
 // connection stays open.
-func (c *client) handle(req *fasthttp.Request, receivedAt time.Time, disconnected <-chan struct{}, done chan<- bool) {
+func (c *client) handle(req *fasthttp.Request, body *payload.Body, receivedAt time.Time, disconnected <-chan struct{}, done chan<- bool) {
 	response := c.server.handler.Handle(&Request{
-		Header: &req.Header, Body: req.Body(), ReceivedAt: receivedAt, Disconnected: disconnected,
+		Header: &req.Header, Body: body, ReceivedAt: receivedAt, Disconnected: disconnected,
 	})
 	last := req.Header.ConnectionClose() || c.server.keepAlivesDisabled.Load() || response.Abort
 	headOnly := req.Header.IsHead()
 	fasthttp.ReleaseRequest(req)
+	body.Release()
 	keep := false
 	if !response.Abort {
 		keep = c.write(&response, headOnly, last) && !last
 	}
+	response.Body.Release()
 	c.server.activeRequests.Add(-1)
 	c.end()
 	if !keep {
@@ -296,22 +356,28 @@
 	}
 	if bodyAllowed(r.Status) {
 		b = append(b, "Content-Length: "...)
-		b = strconv.AppendInt(b, int64(len(r.Body)), 10)
+		b = strconv.AppendInt(b, int64(r.Body.Len()), 10)
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
+	var segments [][]byte
 	if !headOnly && bodyAllowed(r.Status) {
-		b = append(b, r.Body...)
+		if r.Body.Len() <= maxCopiedBody {
+			b = r.Body.AppendTo(b)
+		} else {
+			segments = r.Body.Segments()
+		}
 	}
 	buf.B = b
-	if len(b) <= maxInlineWrite {
+	if len(b) <= maxInlineWrite && segments == nil {
 		_, err := c.conn.Write(b)
 		return err == nil
 	}
 	if c.conn.SetWriteDeadline(time.Now().Add(c.server.writeTimeout)) != nil {
 		return false
 	}
-	_, err := c.conn.Write(b)
+	buffers := append(net.Buffers{b}, segments...)
+	_, err := buffers.WriteTo(c.conn)
 	// The deadline would apply to later responses on the connection.
 	return err == nil && c.conn.SetWriteDeadline(time.Time{}) == nil
 }
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -8,13 +8,15 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/pkg/memory"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/routing"
 )
 
 // Request is a request of a client.
 type Request struct {
 	Header       *fasthttp.RequestHeader
-	Body         []byte
+	Body         *payload.Body
 	ReceivedAt   time.Time       // of the first byte
 	Disconnected <-chan struct{} // closed when the client closes its connection
 }
@@ -22,9 +24,9 @@
 // Response is the response to a request.
 type Response struct {
 	Status int
-	Head   []byte // header fields, each terminated by CRLF
-	Body   []byte
-	Abort  bool // close the connection without a response
+	Head   []byte        // header fields, each terminated by CRLF
+	Body   *payload.Body // released once it has been written
+	Abort  bool          // close the connection without a response
 }
 
 // Handler handles requests.
@@ -35,12 +37,24 @@
 	Limits() routing.Limits
 	// MalformedRequest reports a request that was rejected as malformed.
 	MalformedRequest(err error)
+	// RefuseRequest returns the response to a request that cannot be received,
+	// because there is no memory for it. Its header is nil if that could not be
+	// received either.
+	RefuseRequest(h *fasthttp.RequestHeader, receivedAt time.Time, err error) Response
+	// ConnectionRefused reports a connection that was closed, without having been
+	// read, because there is no memory for it.
+	ConnectionRefused(err error)
 }
 
+// connectionMemory is what a connection holds apart from its requests, in bytes:
+// buffers, stacks of goroutines and small parts.
+const connectionMemory = 8 << 10
+
 // Server serves the connections of clients. It is safe for concurrent use.
 type Server struct {
 	handler            Handler
 	writeTimeout       time.Duration
+	budget             *memory.Budget // nil if memory is unlimited
 	keepAlivesDisabled atomic.Bool
 
 	mu             sync.Mutex
@@ -54,6 +68,9 @@
 // WithWriteTimeout bounds the time that a client takes to read a response.
 func WithWriteTimeout(d time.Duration) Option { return func(s *Server) { s.writeTimeout = d } }
 
+// WithBudget bounds the memory of all connections and requests together.
+func WithBudget(b *memory.Budget) Option { return func(s *Server) { s.budget = b } }
+
 // New returns a server without connections.
 func New(h Handler, options ...Option) *Server {
 	s := &Server{handler: h, writeTimeout: defaultWriteTimeout, clients: make(map[*client]struct{})}
@@ -70,7 +87,13 @@
 		if err != nil {
 			return err
 		}
-		c := newClient(s, conn)
+		claim := s.budget.Claim(memory.Connection, memory.Fixed, nil)
+		if err := claim.Grow(connectionMemory); err != nil {
+			s.handler.ConnectionRefused(err)
+			conn.Close() //nolint:errcheck // nothing has been read
+			continue
+		}
+		c := newClient(s, conn, claim)
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
 		s.mu.Unlock()
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/routing"
 )
 
@@ -26,10 +27,11 @@
 	requests     []string
 	disconnected int
 	malformed    int
+	refusals     []error
 }
 
 func (h *handler) Handle(r *ingress.Request) ingress.Response {
-	text := string(r.Header.Method()) + " " + string(r.Header.RequestURI()) + " " + string(r.Body)
+	text := string(r.Header.Method()) + " " + string(r.Header.RequestURI()) + " " + string(r.Body.Bytes())
 	h.mu.Lock()
 	h.requests = append(h.requests, text)
 	h.mu.Unlock()
@@ -40,7 +42,7 @@
 		h.mu.Unlock()
 	case <-time.After(h.delay):
 	}
-	return ingress.Response{Status: fasthttp.StatusOK, Head: []byte("X-Test: 1\r\n"), Body: []byte(text), Abort: h.abort}
+	return ingress.Response{Status: fasthttp.StatusOK, Head: []byte("X-Test: 1\r\n"), Body: payload.NewBody([]byte(text), nil), Abort: h.abort}
 }
 
 func (h *handler) Limits() routing.Limits { return h.limits }
@@ -51,6 +53,23 @@
 	h.mu.Unlock()
 }
 
+func (h *handler) RefuseRequest(header *fasthttp.RequestHeader, _ time.Time, err error) ingress.Response {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refusals = append(h.refusals, err)
+	response := ingress.Response{Status: fasthttp.StatusServiceUnavailable, Head: []byte("Retry-After: 0.1\r\n")}
+	if header != nil {
+		response.Head = append(response.Head, "Id: "+string(header.Peek("Id"))+"\r\n"...)
+	}
+	return response
+}
+
+func (h *handler) ConnectionRefused(err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.refusals = append(h.refusals, err)
+}
+
 func (h *handler) handled() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/memory"
+	"github.com/papayapath/papayapath/pkg/payload"
 )
 
 const (
@@ -19,8 +21,15 @@
 	// writes too. Each change of a deadline resets a timer, which can wake the
 	// process.
 	writeDeadlineSlack = time.Second
-	// maxSpareBuffer is the capacity up to which a write buffer is reused.
+	// maxSpareBuffer is the capacity up to which a write buffer is reused, and up
+	// to which pending frames need no claim on memory.
 	maxSpareBuffer = 16 << 10
+	// maxCopiedBody is the size up to which a body is copied into the write
+	// buffer. Larger ones are written from where they are.
+	maxCopiedBody = 8 << 10
+	// maxWrite is the size of a write. Each has its own deadline, so that a large
+	// body may take longer than writeTimeout.
+	maxWrite = 1 << 20
 )
 
 // Link is a connection to another node. It is safe for concurrent use.
@@ -29,17 +38,53 @@
 	address        string // of the other node; empty for an accepted connection
 	framesReceived atomic.Uint64
 	traffic        *Traffic
+	budget         *memory.Budget // nil if there is none
 
 	mu            sync.Mutex
-	pending       []byte // encoded frames that are not yet written
+	pending       batch  // frames that are not yet written
 	spare         []byte // buffer of an earlier write, for reuse
 	flushing      bool
 	closed        bool
 	writeDeadline time.Time // accessed only by the flushing goroutine
 }
 
-func newLink(conn net.Conn, address string, t *Traffic) *Link {
-	return &Link{conn: conn, address: address, traffic: t}
+// batch is a sequence of encoded frames.
+type batch struct {
+	data   []byte        // without the large bodies
+	bodies []insertion   // large bodies, each of which the batch retains
+	claim  *memory.Claim // for the data, if it is large
+}
+
+// insertion is a body that belongs before data[at:] of a batch.
+type insertion struct {
+	at   int
+	body *payload.Body
+}
+
+// pieces returns what is to be written, in writes of about maxWrite bytes.
+func (b *batch) pieces() [][]byte {
+	if len(b.bodies) == 0 {
+		return [][]byte{b.data}
+	}
+	var all [][]byte
+	start := 0
+	for _, i := range b.bodies {
+		all = append(append(all, b.data[start:i.at]), i.body.Segments()...)
+		start = i.at
+	}
+	return append(all, b.data[start:])
+}
+
+// release ends the use of the bodies and of the claim.
+func (b *batch) release() {
+	for _, i := range b.bodies {
+		i.body.Release()
+	}
+	b.claim.Release()
+}
+
+func newLink(conn net.Conn, address string, t *Traffic, b *memory.Budget) *Link {
+	return &Link{conn: conn, address: address, traffic: t, budget: b}
 }
 
 // Address returns the address that was dialed, or "" for a link that the other
@@ -47,21 +92,37 @@
 func (l *Link) Address() string { return l.address }
 
 // Send queues a message with its body and flushes the queue unless another
-// sender is already doing so. It returns false if nothing of the frame was sent.
-// A queued frame may still be lost, in which case the link fails.
-func Send[T any](l *Link, kind frame.Kind, v T, body []byte) bool {
+// sender is already doing so. It returns false if nothing of the frame was sent,
+// because the link is closed or there is no memory for the queue. A queued frame
+// may still be lost, in which case the link fails. The link retains a large body
+// until it has been written.
+func Send[T any](l *Link, kind frame.Kind, v T, body *payload.Body) bool {
 	l.mu.Lock()
 	if l.closed {
 		l.mu.Unlock()
 		return false
 	}
-	pending, err := frame.Append(l.pending, kind, v, body)
+	before := len(l.pending.data)
+	data, err := frame.AppendWithoutBody(l.pending.data, kind, v, body.Len())
 	if err != nil {
 		l.mu.Unlock()
 		return false
 	}
-	l.traffic.add(kind, len(pending)-len(l.pending))
-	l.pending = pending
+	isCopied := body.Len() <= maxCopiedBody
+	if isCopied {
+		data = body.AppendTo(data)
+	}
+	if !l.claimQueue(before, len(data)) {
+		l.mu.Unlock()
+		return false
+	}
+	l.pending.data = data
+	if !isCopied {
+		body.Retain()
+		l.pending.bodies = append(l.pending.bodies, insertion{at: len(data), body: body})
+		l.traffic.add(kind, body.Len())
+	}
+	l.traffic.add(kind, len(data)-before)
 	if l.flushing {
 		l.mu.Unlock()
 		return true
@@ -71,38 +132,77 @@
 	return true
 }
 
+// claimQueue claims memory for pending frames whose size grows from before to
+// after. The caller must hold l.mu.
+func (l *Link) claimQueue(before, after int) bool {
+	if after <= maxSpareBuffer {
+		return true
+	}
+	if l.pending.claim == nil {
+		l.pending.claim = l.budget.Claim(memory.Queue, memory.Fixed, nil)
+		before = 0
+	}
+	return l.pending.claim.Grow(after-before) == nil
+}
+
 // flush writes pending frames until none are left. The caller must hold l.mu;
 // flush unlocks it.
 func (l *Link) flush() {
-	for len(l.pending) > 0 && !l.closed {
-		batch := l.pending
-		l.pending = l.spare[:0]
+	for len(l.pending.data) > 0 && !l.closed {
+		current := l.pending
+		l.pending = batch{data: l.spare[:0]}
 		l.spare = nil
 		l.mu.Unlock()
-		err := l.write(batch)
+		err := l.write(&current)
+		current.release()
 		l.mu.Lock()
-		if cap(batch) <= maxSpareBuffer {
-			l.spare = batch[:0]
+		if cap(current.data) <= maxSpareBuffer {
+			l.spare = current.data[:0]
 		}
 		if err != nil {
-			l.flushing, l.closed = false, true
-			l.mu.Unlock()
+			l.closed = true
 			l.conn.Close() //nolint:errcheck // readFrames reports the error
-			return
 		}
 	}
+	if l.closed {
+		l.pending.release()
+		l.pending = batch{}
+	}
 	l.flushing = false
 	l.mu.Unlock()
 }
 
-func (l *Link) write(data []byte) error {
-	if required := time.Now().Add(writeTimeout); required.After(l.writeDeadline) {
-		l.writeDeadline = required.Add(writeDeadlineSlack)
-		if err := l.conn.SetWriteDeadline(l.writeDeadline); err != nil {
+// write writes a batch.
+func (l *Link) write(b *batch) error {
+	var joined net.Buffers
+	size := 0
+	pieces := b.pieces()
+	for i, p := range pieces {
+		joined, size = append(joined, p), size+len(p)
+		if size < maxWrite && i < len(pieces)-1 {
+			continue
+		}
+		if required := time.Now().Add(writeTimeout); required.After(l.writeDeadline) {
+			l.writeDeadline = required.Add(writeDeadlineSlack)
+			if err := l.conn.SetWriteDeadline(l.writeDeadline); err != nil {
+				return err
+			}
+		}
+		if err := writeAll(l.conn, joined); err != nil {
 			return err
 		}
+		joined, size = nil, 0
+	}
+	return nil
+}
+
+// writeAll writes pieces to a connection.
+func writeAll(c net.Conn, pieces net.Buffers) error {
+	if len(pieces) == 1 {
+		_, err := c.Write(pieces[0])
+		return err
 	}
-	_, err := l.conn.Write(data)
+	_, err := pieces.WriteTo(c)
 	return err
 }
 
@@ -118,11 +218,11 @@
 func (l *Link) readFrames(h Handler) error {
 	r := bufio.NewReaderSize(l.conn, readBufferSize)
 	for {
-		kind, head, body, err := frame.Read(r)
+		f, err := frame.Read(r, l.budget)
 		if err != nil {
 			return err
 		}
 		l.framesReceived.Add(1)
-		h.HandleFrame(l, kind, head, body)
+		h.HandleFrame(l, f)
 	}
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayapath/papayapath/internal/socket"
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/memory"
 )
 
 const (
@@ -38,8 +39,8 @@
 	LinkUp(l *Link)
 	// LinkDown reports that a link has ended. No frame of it follows.
 	LinkDown(l *Link, cause error)
-	// HandleFrame processes a message. It takes ownership of head and body.
-	HandleFrame(l *Link, kind frame.Kind, head, body []byte)
+	// HandleFrame processes a frame, which it has to release.
+	HandleFrame(l *Link, f frame.Frame)
 	// PeerUnreachable reports a failed attempt to connect to a node and the
 	// time of the first failure since the last connection.
 	PeerUnreachable(address string, since time.Time)
@@ -52,6 +53,7 @@
 type Mesh struct {
 	handler Handler
 	traffic Traffic
+	budget  *memory.Budget
 
 	mu       sync.Mutex
 	targets  map[string]context.CancelFunc
@@ -67,15 +69,25 @@
 	silentChecks   int
 }
 
+// Option sets a property of a Mesh.
+type Option func(*Mesh)
+
+// WithBudget bounds the memory of the frames that are read or wait to be written.
+func WithBudget(b *memory.Budget) Option { return func(m *Mesh) { m.budget = b } }
+
 // NewMesh returns a mesh without links.
-func NewMesh(h Handler) *Mesh {
-	return &Mesh{
+func NewMesh(h Handler, options ...Option) *Mesh {
+	m := &Mesh{
 		handler:  h,
 		targets:  make(map[string]context.CancelFunc),
 		outbound: make(map[string]*Link),
 		inbound:  make(map[*Link]struct{}),
 		checks:   make(map[*Link]check),
 	}
+	for _, o := range options {
+		o(m)
+	}
+	return m
 }
 
 // Connect maintains a link to the node at address until Drop is called or ctx
@@ -134,7 +146,7 @@
 		start := time.Now()
 		conn, err := socket.Dial(ctx, address, dialTimeout)
 		if err == nil {
-			m.serveOutbound(newLink(conn, address, &m.traffic))
+			m.serveOutbound(newLink(conn, address, &m.traffic, m.budget))
 			if time.Since(start) >= minLinkLifetime {
 				delay, failingSince = minReconnectDelay, time.Time{}
 				continue
@@ -176,7 +188,7 @@
 		if err != nil {
 			return err
 		}
-		l := newLink(conn, "", &m.traffic)
+		l := newLink(conn, "", &m.traffic, m.budget)
 		m.mu.Lock()
 		closed := m.closed
 		m.inbound[l] = struct{}{}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -38,12 +38,12 @@
 	h.down = append(h.down, l)
 }
 
-func (h *handler) HandleFrame(l *peer.Link, kind frame.Kind, head, _ []byte) {
-	switch kind {
+func (h *handler) HandleFrame(l *peer.Link, f frame.Frame) {
+	switch f.Kind {
 	case frame.KindPing:
 		peer.Send(l, frame.KindPong, frame.Ping{}, nil)
 	case frame.KindCancel:
-		c, err := message.Decode[frame.Cancel](head)
+		c, err := message.Decode[frame.Cancel](f.Message)
 		if err != nil {
 			return
 		}
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -13,6 +13,7 @@
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/runner"
@@ -26,7 +27,7 @@
 type execution struct {
 	key        executionKey
 	offer      frame.Offer
-	body       []byte
+	body       *payload.Body
 	ticket     runner.Request[*execution]
 	exchange   *upstream.Exchange
 	server     readiness.Incarnation // server that the request is sent to
@@ -47,13 +48,14 @@
 type reply struct {
 	execution *execution
 	answer    frame.Answer
-	body      []byte
+	body      *payload.Body
 }
 
 // acceptOffer runs, queues or refuses an offer for the local backend server. The
 // wait of an offer began when it was sent. An offer that is read late, because
-// the link stalled or this process was paused, has used up a part of it.
-func (n *Node) acceptOffer(now time.Time, from *peer.Link, o *frame.Offer, body []byte) {
+// the link stalled or this process was paused, has used up a part of it. The body
+// is released with the reply.
+func (n *Node) acceptOffer(now time.Time, from *peer.Link, o *frame.Offer, body *payload.Body) {
 	ex := &execution{key: executionKey{link: from, id: o.ID}, offer: *o, body: body}
 	n.mu.Lock()
 	ex.offer.Wait -= n.transitDelay(now, from, o.Sent)
@@ -135,12 +137,19 @@
 // startExecution sends a request to the local backend server.
 func (n *Node) startExecution(now time.Time, ex *execution) {
 	remaining := ex.ticket.Expires.Sub(now)
-	data := make([]byte, 0, len(ex.offer.Head)+len(ex.body)+attemptFieldsReserve)
-	data = append(data, ex.offer.Head...)
-	data = n.codec.AppendAttemptFields(data, remaining, ex.server.ID, len(ex.body), ex.offer.HasBody)
-	data = append(data, ex.body...)
+	body := ex.body
+	isCopied := body.Len() <= maxCopiedBody
+	size := len(ex.offer.Head) + attemptFieldsReserve
+	if isCopied {
+		size += body.Len()
+	}
+	data := append(make([]byte, 0, size), ex.offer.Head...)
+	data = n.codec.AppendAttemptFields(data, remaining, ex.server.ID, body.Len(), ex.offer.HasBody)
+	if isCopied {
+		data, body = body.AppendTo(data), nil
+	}
 	e := n.pool.Start(now, &upstream.Request{
-		ID: ex.offer.Request, Raw: data, Timeout: remaining, HeadOnly: ex.offer.HeadOnly,
+		ID: ex.offer.Request, Raw: data, Body: body, Timeout: remaining, HeadOnly: ex.offer.HeadOnly,
 	}, func(a *upstream.Answer) { n.endExecution(ex, a) })
 	n.mu.Lock()
 	ex.exchange = e
@@ -151,6 +160,10 @@
 	}
 }
 
+// maxCopiedBody is the size up to which a body is copied behind its header, so that
+// both are written at once.
+const maxCopiedBody = 8 << 10
+
 // attemptFieldsReserve is the buffer space, in bytes, for the header fields that
 // AppendAttemptFields adds.
 const attemptFieldsReserve = 128
@@ -167,6 +180,8 @@
 	completed := reply{execution: ex, answer: n.answer(now, ex, a)}
 	if completed.answer.Outcome == outcome.Complete {
 		completed.body = a.Body
+	} else {
+		a.Body.Release()
 	}
 	n.stats.execution(now.Sub(ex.ticket.Expires.Add(-ex.offer.Wait)))
 	replies := []reply{completed}
@@ -284,16 +299,22 @@
 	return reply{execution: ex, answer: a}
 }
 
-// reply sends answers to the nodes that made the offers.
+// reply sends answers to the nodes that made the offers, and ends the use of their
+// bodies.
 func (n *Node) reply(replies ...reply) {
 	for i := range replies {
 		r := &replies[i]
+		r.execution.body.Release()
 		if r.execution.key.link == nil {
 			n.handleAnswer(time.Now(), nil, &r.answer, r.body)
 			continue
 		}
-		// If the link has closed, the sender has already ended its offers.
-		peer.Send(r.execution.key.link, frame.KindAnswer, &r.answer, r.body)
+		// If the link has closed, the sender has already ended its offers. It does
+		// so if there is no memory for the answer either.
+		if !peer.Send(r.execution.key.link, frame.KindAnswer, &r.answer, r.body) {
+			r.execution.key.link.Close()
+		}
+		r.body.Release()
 	}
 }
 
@@ -307,9 +328,14 @@
 	}
 	delete(n.executions, key)
 	ex.canceled = true
+	isQueued := ex.startedAt.IsZero()
 	n.runner.Cancel(&ex.ticket)
 	e := ex.exchange
 	n.mu.Unlock()
+	if isQueued {
+		// No reply follows.
+		ex.body.Release()
+	}
 	if e != nil {
 		e.Cancel()
 	}
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/registry"
 )
@@ -111,19 +113,26 @@
 
 // HandleFrame processes a frame from another node. A frame that cannot be decoded
 // closes the link.
-func (n *Node) HandleFrame(l *peer.Link, kind frame.Kind, head, body []byte) {
+func (n *Node) HandleFrame(l *peer.Link, f frame.Frame) {
 	now := time.Now()
+	if f.Dropped {
+		n.handleDropped(now, l, f)
+		return
+	}
 	var err error
-	switch kind {
+	head := f.Message
+	switch f.Kind {
 	case frame.KindOffer:
 		var o frame.Offer
 		if o, err = decodeMessage[frame.Offer](head); err == nil {
-			n.acceptOffer(now, l, &o, body)
+			n.acceptOffer(now, l, &o, f.Body)
+			return
 		}
 	case frame.KindAnswer:
 		var a frame.Answer
 		if a, err = decodeMessage[frame.Answer](head); err == nil {
-			n.handleAnswer(now, l, &a, body)
+			n.handleAnswer(now, l, &a, f.Body)
+			return
 		}
 	case frame.KindCancel:
 		var c frame.Cancel
@@ -151,7 +160,7 @@
 			n.reconcile(now, l, d)
 		}
 	case frame.KindConfiguration:
-		n.applyConfiguration(body, false)
+		n.applyConfiguration(f.Body.Bytes(), false)
 	case frame.KindSuspicions:
 		var s frame.Suspicions
 		if s, err = decodeMessage[frame.Suspicions](head); err == nil {
@@ -160,6 +169,43 @@
 	case frame.KindPing:
 		peer.Send(l, frame.KindPong, frame.Ping{}, nil)
 	}
+	f.Body.Release()
+	n.closeOnError(now, l, err)
+}
+
+// handleDropped handles a frame for which there was no memory. An offer has not run,
+// and a request whose answer is lost may have. Other frames come again: nodes
+// compare their tables periodically.
+func (n *Node) handleDropped(now time.Time, l *peer.Link, f frame.Frame) {
+	n.recordExhausted(&droppedError{kind: f.Kind})
+	switch f.Kind {
+	case frame.KindOffer:
+		o, err := decodeMessage[frame.Offer](f.Message)
+		if err == nil {
+			n.mu.Lock()
+			refusal := n.refuseOffer(now, &execution{key: executionKey{link: l, id: o.ID}, offer: o}, outcome.Memory)
+			n.mu.Unlock()
+			n.reply(refusal)
+		}
+		n.closeOnError(now, l, err)
+	case frame.KindAnswer:
+		a, err := decodeMessage[frame.Answer](f.Message)
+		if err == nil {
+			a.Outcome, a.Reason = outcome.Unknown, outcome.Memory
+			n.handleAnswer(now, l, &a, nil)
+		}
+		n.closeOnError(now, l, err)
+	}
+}
+
+// droppedError reports a frame that was dropped for lack of memory.
+type droppedError struct{ kind frame.Kind }
+
+// Error states the kind of the frame.
+func (e *droppedError) Error() string { return fmt.Sprintf("frame %s dropped", e.kind) }
+
+// closeOnError closes a link on which a frame cannot be decoded.
+func (n *Node) closeOnError(now time.Time, l *peer.Link, err error) {
 	if err != nil {
 		n.journal.WriteSampled(now, event.LinkLost, func() logrus.Fields {
 			return logrus.Fields{"node": l.Address(), "detail": err.Error()}
@@ -208,7 +254,7 @@
 		peer.Send(l, frame.KindDigest, frame.Digest{Version: local.Version, Request: true}, nil)
 	case d.Version >= local.Version:
 	case d.Request:
-		peer.Send(l, frame.KindConfiguration, frame.Configuration{Version: local.Version}, rawConfiguration)
+		peer.Send(l, frame.KindConfiguration, frame.Configuration{Version: local.Version}, payload.NewBody(rawConfiguration, nil))
 	default:
 		peer.Send(l, frame.KindDigest, frame.Digest{Version: local.Version}, nil)
 	}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/memory"
 )
 
 const (
@@ -104,7 +105,7 @@
 	for k := frame.Kind(1); k < frame.KindCount; k++ {
 		line("peer_bytes_sent_"+k.String(), int64(n.mesh.Traffic().Sent(k)))
 	}
-	line("answer_bytes_reading", n.pool.BytesReading())
+	n.reportBudget(line)
 	for _, m := range readMemory() {
 		line(m.name, m.value)
 	}
@@ -119,6 +120,19 @@
 	line("configuration_version", int64(n.digest().Version))
 }
 
+// reportBudget reports the use of the memory budget.
+func (n *Node) reportBudget(line func(name string, v int64)) {
+	s := n.budget.Stats()
+	line("memory_budget", n.budget.Limit())
+	line("memory_held", s.Used)
+	line("memory_held_peak", s.Peak)
+	line("memory_revoked", s.Revoked)
+	line("memory_refused", s.Refused)
+	for h, size := range s.Held {
+		line("memory_held_"+memory.Holder(h).String(), size)
+	}
+}
+
 // memoryMetrics are the metrics of the runtime that are reported, by their names
 // here. Their units are bytes and cycles.
 var memoryMetrics = [...]struct{ name, source string }{
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -23,8 +23,10 @@
 	"github.com/papayapath/papayapath/pkg/intake"
 	"github.com/papayapath/papayapath/pkg/keyed"
 	"github.com/papayapath/papayapath/pkg/latency"
+	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/notice"
+	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/registry"
@@ -80,6 +82,7 @@
 	platform     PlatformAPI
 	journal      *journal.Journal
 	stats        *stats
+	budget       *memory.Budget
 	mesh         *peer.Mesh
 	pool         *upstream.Pool
 	clients      *ingress.Server
@@ -128,10 +131,11 @@
 	entryChanged       chan struct{}
 }
 
-// New returns a node that has not been started.
-func New(env *environment.Environment, headerCodec HeaderCodec, api PlatformAPI, log CompactedLog, j *journal.Journal) *Node {
+// New returns a node that has not been started. It holds what others send within b.
+func New(env *environment.Environment, headerCodec HeaderCodec, api PlatformAPI, log CompactedLog, j *journal.Journal, b *memory.Budget) *Node {
 	n := &Node{
 		env:              env,
+		budget:           b,
 		codec:            headerCodec,
 		platform:         api,
 		journal:          j,
@@ -156,9 +160,9 @@
 	}
 	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
 	n.log.Store(&log)
-	n.mesh = peer.NewMesh(n)
+	n.mesh = peer.NewMesh(n, peer.WithBudget(b))
 	n.clients = ingress.New(n)
-	n.pool = upstream.New(env.BackendAddr.String(), headerCodec, maxResponseBody)
+	n.pool = upstream.New(env.BackendAddr.String(), headerCodec, maxResponseBody, upstream.WithBudget(b))
 	now := time.Now()
 	n.started = now
 	n.self = registry.Entry{
@@ -195,6 +199,40 @@
 	})
 }
 
+// RefuseRequest returns the response to a request that was not received because
+// there is no memory for it.
+func (n *Node) RefuseRequest(h *fasthttp.RequestHeader, receivedAt time.Time, err error) ingress.Response {
+	n.recordExhausted(err)
+	req := &request{arrival: receivedAt, clientDeadline: receivedAt.Add(unknownTimeout)}
+	if h != nil {
+		var timeout time.Duration
+		if req.id, timeout = n.codec.Request(h); timeout > 0 {
+			req.clientDeadline = receivedAt.Add(timeout)
+		}
+	}
+	return n.refuse(req, outcome.Memory)
+}
+
+// unknownTimeout is the deadline that is assumed for a request whose header was not
+// received, to tell the client when to return.
+const unknownTimeout = time.Second
+
+// ConnectionRefused records that a connection was closed because there is no memory
+// for it.
+func (n *Node) ConnectionRefused(err error) { n.recordExhausted(err) }
+
+// recordExhausted records that the memory budget was exhausted.
+func (n *Node) recordExhausted(err error) {
+	n.journal.WriteSampled(time.Now(), event.MemoryExhausted, func() logrus.Fields {
+		s := n.budget.Stats()
+		f := logrus.Fields{"detail": err.Error(), "used": s.Used, "limit": n.budget.Limit()}
+		for h, size := range s.Held {
+			f[memory.Holder(h).String()] = size
+		}
+		return f
+	})
+}
+
 // chooseNode returns the node to which a request is offered next, or "" if there
 // is none.
 func (n *Node) chooseNode(now time.Time, req *request) string {
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -13,6 +13,7 @@
 	"github.com/papayapath/papayapath/pkg/latency"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/roster"
 )
 
@@ -31,7 +32,7 @@
 // offerResult is the answer to an offer, with the response body.
 type offerResult struct {
 	answer frame.Answer
-	body   []byte
+	body   *payload.Body
 }
 
 // pending is an offer that has not been answered.
@@ -59,6 +60,7 @@
 		o := req.offer
 		o.ID, o.Wait, o.Sent, o.Notice = id, remaining, now.Sub(n.started), p.notice
 		if p.link == nil {
+			req.body.Retain()
 			n.acceptOffer(now, nil, &o, req.body)
 			return outcome.None
 		}
@@ -149,11 +151,12 @@
 
 // handleAnswer updates the load and latency records from the answer to an offer
 // and passes the answer to the request.
-func (n *Node) handleAnswer(now time.Time, from *peer.Link, a *frame.Answer, body []byte) {
+func (n *Node) handleAnswer(now time.Time, from *peer.Link, a *frame.Answer, body *payload.Body) {
 	n.mu.Lock()
 	p := n.pending[a.ID]
 	if p == nil || p.link != from {
 		n.mu.Unlock()
+		body.Release()
 		return
 	}
 	n.removeOffer(a.ID, p)
@@ -202,6 +205,7 @@
 		n.stats.observeLatency(time.Since(req.arrival))
 		return ingress.Response{Status: a.Status, Head: a.Head, Body: r.body}, true
 	case len(req.openOffers) > 0:
+		r.body.Release()
 		return ingress.Response{}, false
 	case a.Reason == outcome.Suspect:
 		return n.endUnanswered(req, a.Reason), true
@@ -210,6 +214,7 @@
 	if a.Outcome == outcome.NotRun && !a.Sent || n.mayRetry(req, a) {
 		reason = n.sendOffer(req)
 		if reason == outcome.None {
+			r.body.Release()
 			return ingress.Response{}, false
 		}
 	}
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -33,7 +33,7 @@
 // isCapacityReason reports whether a node refused a request because its backend
 // server had no capacity for it in time.
 func isCapacityReason(r outcome.Reason) bool {
-	return r == outcome.Overload || r == outcome.Preempted || r == outcome.Expired || r == outcome.Limited
+	return r == outcome.Overload || r == outcome.Preempted || r == outcome.Expired || r == outcome.Limited || r == outcome.Memory
 }
 
 // refuse returns a 503 response with Retry-After for a request that has not run
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -12,6 +12,7 @@
 	"github.com/papayapath/papayapath/internal/ingress"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/window"
@@ -27,7 +28,7 @@
 	routeKey        message.Route
 	service         string
 	offer           frame.Offer
-	body            []byte
+	body            *payload.Body
 	arrival         time.Time
 	deadline        time.Time // when the final response is due
 	clientDeadline  time.Time // when the client stops waiting, at deadline or later
@@ -56,7 +57,7 @@
 		clientDeadline: clientDeadline,
 		id:             id,
 		route:          route,
-		body:           append([]byte(nil), r.Body...),
+		body:           r.Body,
 		arrival:        r.ReceivedAt,
 		deadline:       r.ReceivedAt.Add(timeout),
 		results:        make(chan offerResult, maxOffersPerRequest+1),
@@ -67,7 +68,7 @@
 		Request:    id,
 		Priority:   priority.New(route.Level(), root),
 		Repeatable: route.Repeatable(),
-		HasBody:    len(req.body) > 0 || string(method) != fasthttp.MethodGet && string(method) != fasthttp.MethodHead,
+		HasBody:    req.body.Len() > 0 || string(method) != fasthttp.MethodGet && string(method) != fasthttp.MethodHead,
 		HeadOnly:   r.Header.IsHead(),
 		Origin:     n.env.Service,
 		Content:    contentHash(r.Header, req.body),
@@ -78,12 +79,16 @@
 
 // contentHash hashes the host, method, URI and body of a request, so that
 // repeats under other request IDs can be recognized.
-func contentHash(h *fasthttp.RequestHeader, body []byte) uint64 {
+func contentHash(h *fasthttp.RequestHeader, body *payload.Body) uint64 {
 	hash := xxhash.New()
-	for _, field := range [...][]byte{h.Host(), h.Method(), h.RequestURI(), body} {
+	for _, field := range [...][]byte{h.Host(), h.Method(), h.RequestURI()} {
 		hash.Write(field)     //nolint:errcheck // never fails
 		hash.Write([]byte{0}) //nolint:errcheck // never fails
 	}
+	for _, segment := range body.Segments() {
+		hash.Write(segment) //nolint:errcheck // never fails
+	}
+	hash.Write([]byte{0}) //nolint:errcheck // never fails
 	return hash.Sum64()
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,8 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/fault"
+	"github.com/papayapath/papayapath/pkg/memory"
+	"github.com/papayapath/papayapath/pkg/payload"
 )
 
 const (
@@ -60,10 +62,10 @@
 	// Writes to a connection are serialized, so a request written in a single
 	// call cannot interleave with the next one.
 	c.remember(e.request.ID)
-	c.exchange, c.written = e, len(e.request.Raw) <= maxInlineWrite
+	c.exchange, c.written = e, e.request.size() <= maxInlineWrite
 	c.deadline = now.Add(e.request.Timeout + responseGrace)
 	c.mu.Unlock()
-	_, err := c.net.Write(e.request.Raw)
+	err := e.request.write(c.net)
 	c.mu.Lock()
 	c.written = c.written || err == nil
 	c.mu.Unlock()
@@ -190,24 +192,35 @@
 	return a, keep
 }
 
+// claim returns a claim on memory for the body of a response. If it is revoked, the
+// connection is closed, so that the server stops sending.
+func (c *conn) claim(announced bool) *memory.Claim {
+	class := memory.Endless
+	if announced {
+		class = memory.Announced
+	}
+	return c.pool.budget.Claim(memory.Response, class, c.close)
+}
+
 // readAnswer reads the response to e and skips late responses to earlier
 // requests.
 func (c *conn) readAnswer(r *bufio.Reader, h *fasthttp.ResponseHeader, e *Exchange) (a *Answer, keep bool) {
 	for range maxStaleResponses + 1 {
-		body, err := readResponse(r, h, e.request.HeadOnly, c.pool.maxBody, &c.pool.reading)
+		body, err := readResponse(r, h, e.request.HeadOnly, c.pool.maxBody, c.claim)
 		if err != nil {
 			return &Answer{Sent: true, Err: err}, false
 		}
 		if c.pool.codec.Matches(h, e.request.ID) {
 			return c.newAnswer(h, body)
 		}
+		body.Release()
 	}
 	return &Answer{Sent: true, Err: &ResponseError{reason: "belongs to another request"}}, false
 }
 
 // newAnswer validates a complete response and copies the header fields that the
 // caller gets. It reports whether the connection can be kept.
-func (c *conn) newAnswer(h *fasthttp.ResponseHeader, body []byte) (a *Answer, keep bool) {
+func (c *conn) newAnswer(h *fasthttp.ResponseHeader, body *payload.Body) (a *Answer, keep bool) {
 	hc := c.pool.codec
 	a = &Answer{Status: h.StatusCode(), Sent: true, NotRun: hc.NotRun(h)}
 	switch {
@@ -217,6 +230,7 @@
 		a.Err = &ResponseError{reason: "has no signature"}
 	}
 	if a.Err != nil {
+		body.Release()
 		return a, false
 	}
 	a.Notice = hc.Notice(h)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,15 +4,17 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/notice"
+	"github.com/papayapath/papayapath/pkg/payload"
 )
 
 const (
@@ -58,16 +60,31 @@
 // Request is a request to the server.
 type Request struct {
 	ID       string
-	Raw      []byte        // serialized request, with its body
+	Raw      []byte        // serialized request, up to its body
+	Body     *payload.Body // what follows Raw
 	Timeout  time.Duration // for the response
 	HeadOnly bool          // the response has no body
 }
 
+// size returns the size of the request in bytes.
+func (r *Request) size() int { return len(r.Raw) + r.Body.Len() }
+
+// write writes the request to w, without copying a body.
+func (r *Request) write(w io.Writer) error {
+	if r.Body.Len() == 0 {
+		_, err := w.Write(r.Raw)
+		return err
+	}
+	buffers := append(net.Buffers{r.Raw}, r.Body.Segments()...)
+	_, err := buffers.WriteTo(w)
+	return err
+}
+
 // Answer is the result of a request.
 type Answer struct {
 	Status int
 	Head   []byte // header fields for the caller
-	Body   []byte
+	Body   *payload.Body
 	NotRun bool  // the server states, or it is certain, that the request was not run
 	Sent   bool  // the server may have received a part of the request
 	Err    error // the response is missing or invalid
@@ -89,7 +106,7 @@
 	address string
 	codec   HeaderCodec
 	maxBody int
-	reading atomic.Int64 // bytes of the bodies that are being read
+	budget  *memory.Budget // for the bodies of responses; nil if they are unlimited
 
 	mu             sync.Mutex
 	idle           []*conn // ordered by last use, the most recent one last
@@ -99,10 +116,20 @@
 	reused         int
 }
 
+// Option sets a property of a Pool.
+type Option func(*Pool)
+
+// WithBudget bounds the memory of the bodies of all responses together.
+func WithBudget(b *memory.Budget) Option { return func(p *Pool) { p.budget = b } }
+
 // New returns an empty pool for the server at address. A response whose body is
 // larger than maxBody bytes is an error.
-func New(address string, h HeaderCodec, maxBody int) *Pool {
-	return &Pool{address: address, codec: h, maxBody: maxBody, all: make(map[*conn]struct{})}
+func New(address string, h HeaderCodec, maxBody int, options ...Option) *Pool {
+	p := &Pool{address: address, codec: h, maxBody: maxBody, all: make(map[*conn]struct{})}
+	for _, o := range options {
+		o(p)
+	}
+	return p
 }
 
 // Exchange is a request in progress.
@@ -148,7 +175,7 @@
 func (p *Pool) Start(now time.Time, r *Request, done func(*Answer)) *Exchange {
 	e := &Exchange{request: r, done: done}
 	c := p.takeIdle(now, r.ID)
-	if c != nil && len(r.Raw) <= maxInlineWrite {
+	if c != nil && r.size() <= maxInlineWrite {
 		c.send(now, e)
 		return e
 	}
@@ -286,9 +313,6 @@
 	return len(p.all), p.dialed, p.reused
 }
 
-// BytesReading returns the size of the responses' bodies that are being read.
-func (p *Pool) BytesReading() int64 { return p.reading.Load() }
-
 // CheckHealth requests the server's health check over a new connection and
 // passes the header of the response to read.
 func CheckHealth(ctx context.Context, address, path string, timeout time.Duration, read func(h *fasthttp.ResponseHeader)) error {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -92,7 +92,7 @@
 	for i := range 5 {
 		a := do(p, fmt.Sprint(i), time.Second)
 		require.NoError(t, a.Err)
-		require.Equal(t, "body", string(a.Body))
+		require.Equal(t, "body", string(a.Body.Bytes()))
 		require.Equal(t, fmt.Sprintf("Id: %d\r\n", i), string(a.Head))
 		time.Sleep(10 * time.Millisecond)
 	}
@@ -113,7 +113,7 @@
 		for i := range 6 {
 			a := do(p, fmt.Sprint(i), time.Second)
 			require.NoError(t, a.Err, name)
-			require.Equal(t, "first", string(a.Body), name)
+			require.Equal(t, "first", string(a.Body.Bytes()), name)
 			time.Sleep(40 * time.Millisecond)
 		}
 	}
@@ -127,7 +127,7 @@
 	for i := 1; i <= 3; i++ {
 		a := do(p, fmt.Sprint(i), time.Second)
 		require.NoError(t, a.Err)
-		require.Equal(t, "own", string(a.Body))
+		require.Equal(t, "own", string(a.Body.Bytes()))
 		time.Sleep(10 * time.Millisecond)
 	}
 }
@@ -175,7 +175,7 @@
 	})
 	a := do(p, "1", time.Second)
 	require.NoError(t, a.Err)
-	require.Equal(t, "whole", string(a.Body))
+	require.Equal(t, "whole", string(a.Body.Bytes()))
 }
 
 // Guards against waiting for an unresponsive server beyond the time-out, and
@@ -351,7 +351,7 @@
 		t.Run(name, func(t *testing.T) {
 			a := do(rawPool(t, response, ""), "a", time.Second)
 			require.NoError(t, a.Err)
-			require.Equal(t, "abc", string(a.Body))
+			require.Equal(t, "abc", string(a.Body.Bytes()))
 		})
 	}
 }
@@ -415,9 +415,9 @@
 		io.WriteString(c, response(id, answers[n-1]))
 		return true
 	})
-	require.Equal(t, "first", string(do(p, "a", time.Second).Body))
-	require.Equal(t, "second", string(do(p, "b", time.Second).Body))
-	require.Equal(t, "third", string(do(p, "a", time.Second).Body))
+	require.Equal(t, "first", string(do(p, "a", time.Second).Body.Bytes()))
+	require.Equal(t, "second", string(do(p, "b", time.Second).Body.Bytes()))
+	require.Equal(t, "third", string(do(p, "a", time.Second).Body.Bytes()))
 }
 
 // Guards against a client that repeats one request ID and with it uses up the
@@ -449,6 +449,6 @@
 	require.ErrorAs(t, a.Err, &panicError)
 	require.True(t, a.Sent)
 	require.False(t, a.NotRun)
-	require.Equal(t, "body", string(do(p, "b", time.Second).Body))
+	require.Equal(t, "body", string(do(p, "b", time.Second).Body.Bytes()))
 	require.Equal(t, int64(2), conns.Load())
 }
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 	"time"
 
+	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/outcome"
@@ -186,57 +188,119 @@
 
 // Append appends a frame with the message v and a body to dst.
 func Append[T any](dst []byte, kind Kind, v T, body []byte) ([]byte, error) {
+	dst, err := AppendWithoutBody(dst, kind, v, len(body))
+	return append(dst, body...), err
+}
+
+// AppendWithoutBody appends a frame with the message v to dst, up to its body of
+// the given size, which has to follow.
+func AppendWithoutBody[T any](dst []byte, kind Kind, v T, bodySize int) ([]byte, error) {
 	encoded, err := message.Encode(v)
 	if err != nil {
 		return dst, err
 	}
-	dst = binary.BigEndian.AppendUint32(dst, uint32(headerBytes+len(encoded)+len(body)))
+	dst = binary.BigEndian.AppendUint32(dst, uint32(headerBytes+len(encoded)+bodySize))
 	dst = append(dst, byte(kind))
 	dst = binary.BigEndian.AppendUint32(dst, uint32(len(encoded)))
-	dst = append(dst, encoded...)
-	return append(dst, body...), nil
+	return append(dst, encoded...), nil
 }
 
-// maxControlBytes is the maximum size of a frame without a body. It holds the
-// entries of 7,200 nodes.
+// maxControlBytes is the maximum size of a message. It holds the entries of 7,200
+// nodes.
 const maxControlBytes = 4 << 20
 
 // maxBytes returns the maximum size of a frame of a kind.
 func (k Kind) maxBytes() uint32 {
-	switch k {
-	case KindOffer, KindAnswer, KindConfiguration:
+	if k.hasBody() {
 		return MaxBytes
 	}
 	return maxControlBytes
 }
 
-// Read reads one frame. The encoded message, which message.Decode decodes, and
-// the body belong to the caller. The memory used is bounded by a multiple of the
-// bytes that have arrived.
-func Read(r *bufio.Reader) (kind Kind, encoded, body []byte, err error) {
+// hasBody reports whether frames of a kind can have a body.
+func (k Kind) hasBody() bool {
+	return k == KindOffer || k == KindAnswer || k == KindConfiguration
+}
+
+// Frame is a frame that has been read.
+type Frame struct {
+	Kind    Kind
+	Message []byte        // encoded message, which message.Decode decodes
+	Body    *payload.Body // holds the claim for the whole frame
+	Dropped bool          // there was no memory for the body, or for the message of a kind without a body
+}
+
+// Read reads one frame, which belongs to the caller, and claims memory for it from
+// b unless it is small. Memory use follows the bytes that arrive.
+func Read(r *bufio.Reader, b *memory.Budget) (Frame, error) {
 	var prefix [lengthBytes + headerBytes]byte
 	if _, err := io.ReadFull(r, prefix[:lengthBytes]); err != nil {
-		return 0, nil, nil, err
+		return Frame{}, err
 	}
 	size := binary.BigEndian.Uint32(prefix[:lengthBytes])
 	if size < headerBytes || size > MaxBytes {
-		return 0, nil, nil, &SizeError{size: size}
+		return Frame{}, &SizeError{size: size}
 	}
 	if _, err := io.ReadFull(r, prefix[lengthBytes:]); err != nil {
-		return 0, nil, nil, err
+		return Frame{}, err
 	}
-	kind = Kind(prefix[lengthBytes])
-	if size > kind.maxBytes() {
-		return 0, nil, nil, &SizeError{size: size}
+	f := Frame{Kind: Kind(prefix[lengthBytes])}
+	if size > f.Kind.maxBytes() {
+		return Frame{}, &SizeError{size: size}
 	}
 	size -= headerBytes
 	length := binary.BigEndian.Uint32(prefix[lengthBytes+1:])
-	if length > size {
-		return 0, nil, nil, &SizeError{size: length}
+	if length > size || length > maxControlBytes {
+		return Frame{}, &SizeError{size: length}
+	}
+	if size <= memory.Small {
+		data := make([]byte, size)
+		if _, err := io.ReadFull(r, data); err != nil {
+			return Frame{}, unexpectedEnd(err)
+		}
+		f.Message, f.Body = data[:length:length], payload.NewBody(data[length:], nil)
+		return f, nil
+	}
+	return f, f.readLarge(r, int(length), int(size-length), b)
+}
+
+// readLarge reads a message and a body that need a claim. Content for which there
+// is no memory is discarded, so that the link stays usable.
+func (f *Frame) readLarge(r *bufio.Reader, length, bodySize int, b *memory.Budget) error {
+	claim := b.Claim(memory.Frame, memory.Fixed, nil)
+	if f.Kind.hasBody() {
+		// The message tells to whom the frame matters.
+		claim.Force(length)
+	} else if err := claim.Grow(length); err != nil {
+		f.Dropped = true
+		return discard(r, length+bodySize)
 	}
-	data, err := payload.Read(r, int(size))
+	m, err := payload.Read(r, length, nil)
 	if err != nil {
-		return 0, nil, nil, err
+		claim.Release()
+		return err
+	}
+	f.Message = m.Bytes()
+	rest := &io.LimitedReader{R: r, N: int64(bodySize)}
+	f.Body, err = payload.Read(rest, bodySize, claim)
+	var exhausted *memory.ExhaustedError
+	if errors.As(err, &exhausted) {
+		f.Dropped = true
+		return discard(r, int(rest.N))
+	}
+	return err
+}
+
+// discard reads and drops n bytes.
+func discard(r *bufio.Reader, n int) error {
+	_, err := r.Discard(n)
+	return unexpectedEnd(err)
+}
+
+// unexpectedEnd returns io.ErrUnexpectedEOF for io.EOF and other errors unchanged.
+func unexpectedEnd(err error) error {
+	if err == io.EOF {
+		return io.ErrUnexpectedEOF
 	}
-	return kind, data[:length:length], data[length:], nil
+	return err
 }
--- a/pkg/frame/frame_test.go
+++ b/pkg/frame/frame_test.go
@@ -14,7 +14,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/registry"
 )
 
 // Guards against a message or body that extends into the next frame.
@@ -25,18 +27,18 @@
 	data, err = frame.Append(data, frame.KindCancel, frame.Cancel{ID: 8}, nil)
 	require.NoError(t, err)
 	r := bufio.NewReader(bytes.NewReader(data))
-	kind, encoded, body, err := frame.Read(r)
+	f, err := frame.Read(r, nil)
 	require.NoError(t, err)
-	require.Equal(t, frame.KindOffer, kind)
-	require.Equal(t, "body", string(body))
-	got, err := message.Decode[frame.Offer](encoded)
+	require.Equal(t, frame.KindOffer, f.Kind)
+	require.Equal(t, "body", string(f.Body.Bytes()))
+	got, err := message.Decode[frame.Offer](f.Message)
 	require.NoError(t, err)
 	require.Equal(t, o, got)
-	kind, encoded, body, err = frame.Read(r)
+	f, err = frame.Read(r, nil)
 	require.NoError(t, err)
-	require.Equal(t, frame.KindCancel, kind)
-	require.Empty(t, body)
-	c, err := message.Decode[frame.Cancel](encoded)
+	require.Equal(t, frame.KindCancel, f.Kind)
+	require.Empty(t, f.Body.Bytes())
+	c, err := message.Decode[frame.Cancel](f.Message)
 	require.NoError(t, err)
 	require.Equal(t, uint64(8), c.ID)
 }
@@ -48,7 +50,7 @@
 		{0xff, 0xff, 0xff, 0xff, 1, 0, 0, 0, 0},
 		{0, 0, 0, 6, 1, 0, 0, 0, 9, 0},
 	} {
-		_, _, _, err := frame.Read(bufio.NewReader(bytes.NewReader(data)))
+		_, err := frame.Read(bufio.NewReader(bytes.NewReader(data)), nil)
 		var sizeErr *frame.SizeError
 		require.ErrorAs(t, err, &sizeErr)
 	}
@@ -62,7 +64,7 @@
 	data = append(data, make([]byte, 1000)...)
 	var before, after runtime.MemStats
 	runtime.ReadMemStats(&before)
-	_, _, _, err := frame.Read(bufio.NewReader(bytes.NewReader(data)))
+	_, err := frame.Read(bufio.NewReader(bytes.NewReader(data)), nil)
 	runtime.ReadMemStats(&after)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20))
@@ -76,7 +78,7 @@
 	} {
 		data := binary.BigEndian.AppendUint32(nil, 5<<20)
 		data = append(data, byte(kind), 0, 0, 0, 1)
-		_, _, _, err := frame.Read(bufio.NewReader(bytes.NewReader(data)))
+		_, err := frame.Read(bufio.NewReader(bytes.NewReader(data)), nil)
 		var size *frame.SizeError
 		require.Equal(t, valid, !errors.As(err, &size), kind.String())
 	}
@@ -90,10 +92,39 @@
 	}
 	data, err := frame.Append(nil, frame.KindAnswer, frame.Answer{ID: 9}, body)
 	require.NoError(t, err)
-	kind, _, got, err := frame.Read(bufio.NewReader(iotest.HalfReader(bytes.NewReader(data))))
+	f, err := frame.Read(bufio.NewReader(iotest.HalfReader(bytes.NewReader(data))), nil)
 	require.NoError(t, err)
-	require.Equal(t, frame.KindAnswer, kind)
-	require.True(t, bytes.Equal(body, got))
+	require.Equal(t, frame.KindAnswer, f.Kind)
+	require.True(t, bytes.Equal(body, f.Body.Bytes()))
+}
+
+// Guards against frames of several links that together exhaust the memory, and
+// against a link that is unusable after one.
+func TestFramesBeyondTheBudget(t *testing.T) {
+	b := memory.New(1 << 20)
+	data, err := frame.Append(nil, frame.KindOffer, &frame.Offer{ID: 7}, make([]byte, 2<<20))
+	require.NoError(t, err)
+	data, err = frame.Append(data, frame.KindEntries, frame.Entries{Entries: make([]registry.Entry, 50_000)}, nil)
+	require.NoError(t, err)
+	data, err = frame.Append(data, frame.KindAnswer, frame.Answer{ID: 8}, make([]byte, 100_000))
+	require.NoError(t, err)
+	r := bufio.NewReader(bytes.NewReader(data))
+	f, err := frame.Read(r, b)
+	require.NoError(t, err)
+	require.True(t, f.Dropped)
+	o, err := message.Decode[frame.Offer](f.Message)
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), o.ID)
+	f, err = frame.Read(r, b)
+	require.NoError(t, err)
+	require.True(t, f.Dropped)
+	f, err = frame.Read(r, b)
+	require.NoError(t, err)
+	require.False(t, f.Dropped)
+	require.Equal(t, 100_000, f.Body.Len())
+	require.Greater(t, b.Stats().Used, int64(100_000))
+	f.Body.Release()
+	require.Zero(t, b.Stats().Used)
 }
 
 // Guards against a panic on malformed input from the network.
@@ -104,10 +135,10 @@
 		if len(data) > 2 && data[0] > 0 {
 			return // a long frame would need more input than there is
 		}
-		_, encoded, _, err := frame.Read(bufio.NewReader(bytes.NewReader(data)))
+		read, err := frame.Read(bufio.NewReader(bytes.NewReader(data)), nil)
 		if err == nil {
-			message.Decode[frame.Answer](encoded)  //nolint:errcheck // only a panic counts
-			message.Decode[frame.Entries](encoded) //nolint:errcheck // only a panic counts
+			message.Decode[frame.Answer](read.Message)  //nolint:errcheck // only a panic counts
+			message.Decode[frame.Entries](read.Message) //nolint:errcheck // only a panic counts
 		}
 	})
 }
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -54,6 +54,7 @@
 	InProgress         // a call with the same key is running and its outcome is not yet known
 	Forgotten          // the key is older than the records of this owner
 	Limited            // the server takes no more requests a second
+	Memory             // the node has no memory for the request
 	reasonCount
 )
 
@@ -61,7 +62,7 @@
 	"none", "overload", "draining", "unavailable", "expired", "rate",
 	"forbidden", "malformed", "conflict", "stale", "nolease", "epoch",
 	"suspect", "broken", "crashed", "canceled", "preempted", "toolarge",
-	"inprogress", "forgotten", "limited",
+	"inprogress", "forgotten", "limited", "memory",
 }
 
 // String returns the value of the response header Papayapath-Reason.
--- a/pkg/payload/doc.go
+++ b/pkg/payload/doc.go
@@ -1,2 +1,3 @@
-// Package payload reads content whose length the sender has announced.
+// Package payload holds the content of messages, and reads it within a claim on
+// memory.
 package payload
