Bound the memory of connections, headers and bodies of clients

What callers saw: three bodies of 60 MiB at once, within max_body_bytes, took a node over the memory of its process.

The limit of the configuration was taken as it is, and a body was held three times at its entry node: as it was read, in the request and in the frame to the node that runs it. fasthttp also allocated the length that a client announced before any of it had arrived.

Change: connections, long header sections and bodies claim their part of the memory budget. A body is held once, in segments that follow what arrives. A request for which there is no memory gets a 503 with Retry-After, as it has not run and will not; the rest of its body is read and discarded, so that the client gets to see the answer. A body that exceeds the whole budget gets 413. A connection for which there is no memory is closed before anything is read.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -97,7 +97,7 @@
 	if err != nil {
 		defer fasthttp.ReleaseRequest(req)
 		var exhausted *memory.ExhaustedError
-		if errors.As(err, &exhausted) {
+		if errors.As(err, &exhausted) && !exhausted.IsOversized() {
 			return c.refuse(&req.Header, receivedAt, exhausted)
 		}
 		return c.rejectMalformed(err)
@@ -229,10 +229,11 @@
 	c.server.handler.MalformedRequest(err)
 	status := fasthttp.StatusBadRequest
 	var small *fasthttp.ErrSmallBuffer
+	var exhausted *memory.ExhaustedError
 	switch {
 	case errors.As(err, &small):
 		status = fasthttp.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, payload.ErrTooLarge):
+	case errors.Is(err, payload.ErrTooLarge), errors.As(err, &exhausted):
 		status = fasthttp.StatusRequestEntityTooLarge
 	}
 	c.write(&Response{Status: status}, false, true)
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/routing"
 )
@@ -87,12 +88,17 @@
 
 // serve starts a server and returns it with a connection to it.
 func serve(t *testing.T, h *handler) (*ingress.Server, net.Conn) {
+	return serveWithin(t, h, nil)
+}
+
+// serveWithin is like serve, for a server with a memory budget.
+func serveWithin(t *testing.T, h *handler, b *memory.Budget) (*ingress.Server, net.Conn) {
 	if h.limits.IdleTimeout == 0 {
 		h.limits = routing.New(0).Limits()
 	}
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
-	s := ingress.New(h, ingress.WithWriteTimeout(writeTimeout))
+	s := ingress.New(h, ingress.WithWriteTimeout(writeTimeout), ingress.WithBudget(b))
 	go s.Serve(ln) //nolint:errcheck // returns when the listener is closed
 	conn, err := net.Dial("tcp4", ln.Addr().String())
 	require.NoError(t, err)
@@ -281,3 +287,70 @@
 	_, got, _ = receive(t, r)
 	require.Equal(t, "GET /small ", got)
 }
+
+// Guards against bodies that together exhaust the memory, against a refusal that
+// the client does not get because its connection is reset, and against a request
+// that is refused and handled.
+func TestBodyBeyondTheBudget(t *testing.T) {
+	b := memory.New(1 << 20)
+	other := b.Claim(memory.Response, memory.Fixed, nil)
+	require.NoError(t, other.Grow(900_000))
+	h := &handler{}
+	_, conn := serveWithin(t, h, b)
+	text := "POST /large HTTP/1.1\nHost: a\nId: r1\nContent-Length: 1000000\n\n" + strings.Repeat("x", 1_000_000)
+	send(t, conn, text)
+	resp := &fasthttp.Response{}
+	require.NoError(t, resp.Read(bufio.NewReader(conn)))
+	require.Equal(t, fasthttp.StatusServiceUnavailable, resp.StatusCode())
+	require.NotEmpty(t, resp.Header.Peek("Retry-After"))
+	require.Equal(t, "r1", string(resp.Header.Peek("Id")))
+	require.True(t, resp.ConnectionClose())
+	require.Empty(t, h.handled())
+	other.Release()
+	conn.Close()
+	require.Eventually(t, func() bool { return b.Stats().Used == 0 }, time.Second, time.Millisecond)
+	_, conn = serveWithin(t, h, b)
+	send(t, conn, text)
+	status, _, _ := receive(t, bufio.NewReader(conn))
+	require.Equal(t, fasthttp.StatusOK, status)
+	require.Len(t, h.handled(), 1)
+}
+
+// Guards against a body that fits into no budget and that the client is told to
+// send again.
+func TestBodyLargerThanTheBudget(t *testing.T) {
+	h := &handler{}
+	for _, framing := range []string{"Content-Length: 200000\n\n", "Transfer-Encoding: chunked\n\n30d40\n"} {
+		_, conn := serveWithin(t, h, memory.New(100_000))
+		send(t, conn, "POST / HTTP/1.1\nHost: a\n"+framing+strings.Repeat("x", 200_000)+"\n0\n\n")
+		status, _, _ := receive(t, bufio.NewReader(conn))
+		require.Equal(t, fasthttp.StatusRequestEntityTooLarge, status, framing)
+	}
+	require.Empty(t, h.handled())
+}
+
+// Guards against long header sections that together exhaust the memory.
+func TestHeaderBeyondTheBudget(t *testing.T) {
+	h := &handler{}
+	b := memory.New(64 << 10)
+	other := b.Claim(memory.Response, memory.Fixed, nil)
+	require.NoError(t, other.Grow(50<<10))
+	defer other.Release()
+	_, conn := serveWithin(t, h, b)
+	send(t, conn, "GET /long HTTP/1.1\nHost: a\nX: "+strings.Repeat("x", 12<<10)+"\n\n")
+	status, _, closing := receive(t, bufio.NewReader(conn))
+	require.Equal(t, fasthttp.StatusServiceUnavailable, status)
+	require.True(t, closing)
+	require.Empty(t, h.handled())
+}
+
+// Guards against connections that together exhaust the memory. One that is refused
+// is closed without having been read, so that its client can safely try again.
+func TestConnectionBeyondTheBudget(t *testing.T) {
+	h := &handler{}
+	_, conn := serveWithin(t, h, memory.New(4<<10))
+	_, err := bufio.NewReader(conn).ReadByte()
+	require.Error(t, err)
+	require.Len(t, h.refusals, 1)
+	require.Empty(t, h.handled())
+}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -161,7 +161,7 @@
 	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
 	n.log.Store(&log)
 	n.mesh = peer.NewMesh(n, peer.WithBudget(b))
-	n.clients = ingress.New(n)
+	n.clients = ingress.New(n, ingress.WithBudget(b))
 	n.pool = upstream.New(env.BackendAddr.String(), headerCodec, maxResponseBody, upstream.WithBudget(b))
 	now := time.Now()
 	n.started = now
