Receive stop signals apart from signals to reload

What callers saw: after two SIGHUPs and a SIGTERM within 0.2 ms some nodes went on as if nothing had happened.

Cause: one channel with room for one signal for all kinds, read by the goroutine that reloads the settings. Package os/signal drops a signal for which there is no room, so a SIGTERM that came while one SIGHUP was handled and another waited was lost.

Change: package signals receives SIGTERM and SIGINT on a channel of their own. One is dropped only while an equal one waits. The stop does not go through the goroutine that reloads, which may hang in a read of the settings.

Evidence: TestStopDuringReload, with a settings file that cannot be read to its end, fails on the code before (the process still runs 10 s after SIGTERM). Bursts before, after and during starts and stops passed before as well.

--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -6,9 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/google/subcommands"
@@ -18,6 +16,7 @@
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/journal"
 	"github.com/papayapath/papayapath/internal/sidecar"
+	"github.com/papayapath/papayapath/internal/signals"
 	"github.com/papayapath/papayapath/platform"
 	"github.com/papayapath/papayapath/platform/settings"
 )
@@ -65,10 +64,8 @@
 }
 
 func run(ctx context.Context, path string) error {
-	// Register before reading the settings: an unhandled signal would
-	// terminate the process.
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	// An unhandled SIGHUP would end the process while it reads the settings.
+	s := signals.Watch()
 	env, err := settings.Read(path)
 	if err != nil {
 		return err
@@ -77,39 +74,35 @@
 	debug.SetMemoryLimit(int64(memoryLimitRatio * float64(env.MemoryLimit)))
 	j := journal.New(os.Stdout, logrus.Fields{"node": env.Instance})
 	defer j.Flush(logFlushTimeout)
-	s := &supervisor{path: path, env: env, journal: j, node: platform.NewNode(env, j), stop: make(chan struct{})}
-	go s.watch(signals)
-	return s.node.Run(ctx, s.stop)
+	node := platform.NewNode(env, j)
+	r := &reloader{path: path, env: env, journal: j, node: node}
+	go r.watch(s.Reload())
+	return node.Run(ctx, s.Stop())
 }
 
-// supervisor stops the node on SIGTERM and SIGINT and reloads its settings on
-// SIGHUP or when the settings file changes.
-type supervisor struct {
+// reloader reloads the settings of a node on SIGHUP or when the settings file
+// changes. It has no part in stopping the node, as a reload may take long.
+type reloader struct {
 	path    string
 	text    []byte // contents of the settings file when it was last read
 	env     *environment.Environment
 	journal *journal.Journal
 	node    *sidecar.Node
-	stop    chan struct{}
 }
 
-// watch handles signals and checks the settings file for changes, until a signal
-// stops the node.
-func (s *supervisor) watch(signals <-chan os.Signal) {
+// watch handles signals and checks the settings file for changes, until the
+// process ends.
+func (r *reloader) watch(hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
-	s.text, _ = os.ReadFile(s.path) //nolint:errcheck // run has read the file; after an error the next check reloads it
+	r.text, _ = os.ReadFile(r.path) //nolint:errcheck // run has read the file; after an error the next check reloads it
 	for {
 		select {
-		case sig := <-signals:
-			if sig != syscall.SIGHUP {
-				close(s.stop)
-				return
-			}
-			s.reload("signal")
+		case <-hangups:
+			r.reload("signal")
 		case <-ticker.C:
-			if text, err := os.ReadFile(s.path); err == nil && !bytes.Equal(text, s.text) {
-				s.reload("file")
+			if text, err := os.ReadFile(r.path); err == nil && !bytes.Equal(text, r.text) {
+				r.reload("file")
 			}
 		}
 	}
@@ -117,21 +110,21 @@
 
 // reload applies the settings in the file. It keeps the current settings if the
 // file is unreadable or invalid.
-func (s *supervisor) reload(cause string) {
-	text, err := os.ReadFile(s.path)
+func (r *reloader) reload(cause string) {
+	text, err := os.ReadFile(r.path)
 	if err != nil {
-		s.journal.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
+		r.journal.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
 		return
 	}
-	s.text = text
-	next, err := settings.Parse(s.path, string(text))
+	r.text = text
+	next, err := settings.Parse(r.path, string(text))
 	if err != nil {
-		s.journal.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
+		r.journal.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
 		return
 	}
-	s.journal.Write(event.SettingsReloaded, logrus.Fields{"cause": cause, "log": next.LogAddr.String()})
-	if next.LogAddr != s.env.LogAddr {
-		s.node.SetLog(platform.NewLog(next))
+	r.journal.Write(event.SettingsReloaded, logrus.Fields{"cause": cause, "log": next.LogAddr.String()})
+	if next.LogAddr != r.env.LogAddr {
+		r.node.SetLog(platform.NewLog(next))
 	}
-	s.env = next
+	r.env = next
 }
--- /dev/null
+++ b/cmd/sidecar/signals_test.go
@@ -0,0 +1,143 @@
+package main_test
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	graceSeconds = 4
+	// stopTimeout is the grace period and what a busy machine may add.
+	stopTimeout  = graceSeconds*time.Second + 6*time.Second
+	startTimeout = 10 * time.Second
+)
+
+// build builds the program.
+func build(t *testing.T) string {
+	program := filepath.Join(t.TempDir(), "sidecar")
+	out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput()
+	require.NoError(t, err, string(out))
+	return program
+}
+
+// process is a node in a process of its own.
+type process struct {
+	command  *exec.Cmd
+	settings string
+	ready    string // address of readiness checks
+	ended    chan error
+}
+
+// start starts a node. number makes its address unique.
+func start(t *testing.T, program string, number int) *process {
+	ip := fmt.Sprintf("127.%d.%d.%d", 200+os.Getpid()>>8&31, os.Getpid()%250, number+1)
+	p := &process{settings: filepath.Join(t.TempDir(), "settings"), ready: ip + ":8302", ended: make(chan error, 1)}
+	text := strings.Join([]string{
+		"node_name=n", "ip=" + ip, "zone=z", "service=svc", "app_addr=" + ip + ":8301",
+		"listen.outbound=" + ip + ":8304", "listen.ready=" + p.ready, "listen.control_plane=" + ip + ":8306",
+		"internal_ports=7620,7635", "platform.address=" + ip + ":8309", fmt.Sprintf("bounds.grace_s=%d", graceSeconds),
+	}, "\n")
+	require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+	p.command = exec.Command(program)
+	p.command.Env = append(os.Environ(), "PAPAYAPATH_NODE_FILE="+p.settings)
+	require.NoError(t, p.command.Start())
+	go func() { p.ended <- p.command.Wait() }()
+	t.Cleanup(func() { p.command.Process.Kill() })
+	return p
+}
+
+// awaitStart waits until the node listens.
+func (p *process) awaitStart(t *testing.T) {
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp4", p.ready)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, startTimeout, 5*time.Millisecond)
+}
+
+func (p *process) signal(t *testing.T, all ...syscall.Signal) {
+	for _, s := range all {
+		if err := p.command.Process.Signal(s); !errors.Is(err, os.ErrProcessDone) {
+			require.NoError(t, err)
+		}
+	}
+}
+
+// requireEnd waits until the process has ended.
+func (p *process) requireEnd(t *testing.T) error {
+	select {
+	case err := <-p.ended:
+		return err
+	case <-time.After(stopTimeout):
+		require.Fail(t, "the process has not stopped")
+		return nil
+	}
+}
+
+// Guards against a stop that is lost because signals to reload the settings came
+// before it, while a reload is in progress. The reload is blocked by settings that
+// cannot be read to their end.
+func TestStopDuringReload(t *testing.T) {
+	p := start(t, build(t), 1)
+	p.awaitStart(t)
+	require.NoError(t, os.Remove(p.settings))
+	require.NoError(t, syscall.Mkfifo(p.settings, 0o600))
+	p.signal(t, syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	p.signal(t, syscall.SIGHUP, syscall.SIGHUP, syscall.SIGTERM, syscall.SIGHUP)
+	require.NoError(t, p.requireEnd(t))
+}
+
+// Guards against a stop that is lost, or that becomes a sudden end, in bursts of
+// signals: before, after and during a reload, a start and a stop.
+func TestStopInBursts(t *testing.T) {
+	const (
+		hangUp = syscall.SIGHUP
+		stop   = syscall.SIGTERM
+	)
+	program := build(t)
+	for i, burst := range [][]syscall.Signal{
+		{stop},
+		{hangUp, stop},
+		{hangUp, hangUp, stop},
+		{hangUp, hangUp, hangUp, hangUp, stop},
+		{stop, hangUp},
+		{stop, stop},
+		{hangUp, stop, hangUp, stop, hangUp},
+		{syscall.SIGINT, hangUp, stop},
+	} {
+		t.Run(fmt.Sprint(burst), func(t *testing.T) {
+			t.Parallel()
+			p := start(t, program, 10+i)
+			p.awaitStart(t)
+			p.signal(t, burst...)
+			time.Sleep(50 * time.Millisecond)
+			p.signal(t, hangUp, stop, hangUp)
+			require.NoError(t, p.requireEnd(t))
+		})
+	}
+	for i := range 8 {
+		t.Run(fmt.Sprintf("%d ms after the start", 3*i), func(t *testing.T) {
+			t.Parallel()
+			p := start(t, program, 30+i)
+			time.Sleep(time.Duration(3*i) * time.Millisecond)
+			p.signal(t, stop)
+			// Before the program handles signals, one ends it at once.
+			if err := p.requireEnd(t); err != nil {
+				require.Equal(t, "signal: terminated", err.Error())
+			}
+		})
+	}
+}
