Reject heartbeats with implausible values

One heartbeat with the sequence number 2^63-1 or a start far in the future was taken as true. Each later sound heartbeat then looked old: it was acknowledged and ignored, also the one that says that the server is leaving (DRAIN). Slots of 2^63-1 lifted the limit of the server, and a warm-up overflowed.

Such a heartbeat gets 400 and counts as not received.

Evidence: TestImplausibleHeartbeats on the code before: status 200 in place of 400; with the statuses ignored, a request after the acknowledged leave is served by the leaving server.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -49,6 +49,9 @@
 func (n *Node) handleHeartbeat(ctx *fasthttp.RequestCtx, id string) {
 	now := time.Now()
 	h, err := fault.Call(func() (readiness.Heartbeat, error) { return n.platform.Heartbeat(id, ctx.PostBody()) })
+	if err == nil {
+		err = h.Validate(now)
+	}
 	if err != nil {
 		n.journal.WriteSampled(now, event.HeartbeatRejected, func() logrus.Fields {
 			return logrus.Fields{"detail": err.Error()}
