Ignore entries of nodes that no working node writes

An entry in the list of nodes with the address of a sound node and an incarnation of 2^63-1 was taken as true by all others, and the entries of the node itself looked old. The node raises its incarnation above such an entry, which overflowed. It got no requests of other nodes. Entries with ports out of range, no address, unknown states or 2^63-1 slots counted as nodes. Deep nesting and numbers too large for their field were met before: the entry is logged and the others hold.

Change: registry.Entry.Validate; entries from the log and from other nodes that it rejects are logged (event 634) and ignored.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -50,6 +50,7 @@
 	LinkOpened            = register(631, logrus.InfoLevel, "link opened")
 	LinkLost              = register(632, logrus.WarnLevel, "link lost")
 	AcceptFailed          = register(633, logrus.WarnLevel, "connection not accepted")
+	EntryRejected         = register(634, logrus.WarnLevel, "node entry rejected")
 	HeartbeatRejected     = register(640, logrus.WarnLevel, "heartbeat rejected")
 	BackendStateChanged   = register(641, logrus.InfoLevel, "backend server state changed")
 	ServerNoticeChanged   = register(642, logrus.InfoLevel, "server notice changed")
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -142,7 +143,7 @@
 	case frame.KindEntries:
 		var e frame.Entries
 		if e, err = decodeMessage[frame.Entries](head); err == nil {
-			n.handleEntries(now, l, e.Entries)
+			n.handleEntries(now, l, n.plausibleEntries(now, e.Entries))
 		}
 	case frame.KindSummary:
 		var m frame.Summary
@@ -275,6 +276,7 @@
 // handleBuckets merges the entries of some buckets and returns those that the
 // sender lacks.
 func (n *Node) handleBuckets(now time.Time, l *peer.Link, b frame.Buckets) {
+	b.Entries = n.plausibleEntries(now, b.Entries)
 	n.mu.Lock()
 	n.mergeEntries(now, b.Entries)
 	newer := n.registry.NewerThan(b.Entries, b.Buckets)
@@ -317,8 +319,21 @@
 	return leaving
 }
 
-// mergeEntries merges entries into the registry and connects to new nodes. The
-// caller must hold n.mu.
+// plausibleEntries returns the entries without those that no working node writes.
+func (n *Node) plausibleEntries(now time.Time, entries []registry.Entry) []registry.Entry {
+	return slices.DeleteFunc(entries, func(e registry.Entry) bool {
+		err := e.Validate(now)
+		if err != nil {
+			n.journal.WriteSampled(now, event.EntryRejected, func() logrus.Fields {
+				return logrus.Fields{"detail": err.Error()}
+			})
+		}
+		return err != nil
+	})
+}
+
+// mergeEntries merges plausible entries into the registry and connects to new nodes.
+// The caller must hold n.mu.
 func (n *Node) mergeEntries(now time.Time, entries []registry.Entry) {
 	for _, e := range entries {
 		if e.Node == n.self.Node {
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -323,8 +323,10 @@
 		}
 		entries = append(entries, e)
 	}
+	now := time.Now()
+	entries = n.plausibleEntries(now, entries)
 	n.mu.Lock()
-	n.mergeEntries(time.Now(), entries)
+	n.mergeEntries(now, entries)
 	n.mu.Unlock()
 	return nil
 }
