Give a repeated request a new connection to the backend server

A faulty server may write an earlier refusal once more on a kept connection. The copy is told by its ID, unless the request that is due has the same ID: a run that is repeated makes its calls again with their IDs. A connection remembered the last 8 IDs that it carried, so after 8 other requests the copy counted as the answer: the client was told that a request had not run which the server was running (REFUSED), or it was sent to a second server (TWICE).

Change: the pool remembers at least the latest 8,192 IDs that the server has had (pkg/history), and a request with one of them gets a new connection. It closes an idle one, so that the connections of the server do not grow. Copies under other IDs were met before: two are skipped, more end the request as unknown.

Evidence: TestLateCopyOfRefusal on the code before: fails after 8 other requests.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,7 +31,6 @@
 	net      net.Conn
 	maxIdle  time.Duration
 	lastUsed time.Time // end of the last exchange; written while not idle
-	requests []string  // IDs of the latest requests; written while not idle
 
 	mu       sync.Mutex
 	exchange *Exchange
@@ -61,7 +60,6 @@
 	}
 	// Writes to a connection are serialized, so a request written in a single
 	// call cannot interleave with the next one.
-	c.remember(e.request.ID)
 	c.exchange, c.written = e, e.request.size() <= maxInlineWrite
 	c.deadline = now.Add(e.request.Timeout + responseGrace)
 	c.mu.Unlock()
@@ -76,18 +74,6 @@
 	}
 }
 
-// maxKnownRequests is the number of requests whose IDs a connection remembers.
-const maxKnownRequests = 8
-
-// remember records the ID of a request that is sent on the connection.
-func (c *conn) remember(id string) {
-	if len(c.requests) == maxKnownRequests {
-		copy(c.requests, c.requests[1:])
-		c.requests = c.requests[:maxKnownRequests-1]
-	}
-	c.requests = append(c.requests, id)
-}
-
 // release returns a connection without an exchange to the pool.
 func (c *conn) release(now time.Time) {
 	c.lastUsed = now
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/pkg/history"
 	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/payload"
@@ -38,6 +39,9 @@
 	// maxInlineWrite is the size up to which a request is written by the
 	// goroutine that starts it. Writing a larger one could block.
 	maxInlineWrite = 16 << 10
+	// knownRequests is the number of latest requests whose IDs are remembered. An
+	// ID comes again within the deadline of the request that a client has sent.
+	knownRequests = 8192
 	// maxHealthBody bounds the body of a health check's response, in bytes. The
 	// body is not used.
 	maxHealthBody = 64 << 10
@@ -109,7 +113,8 @@
 	budget  *memory.Budget // for the bodies of responses; nil if they are unlimited
 
 	mu             sync.Mutex
-	idle           []*conn // ordered by last use, the most recent one last
+	idle           []*conn          // ordered by last use, the most recent one last
+	known          *history.History // IDs of requests
 	all            map[*conn]struct{}
 	sweepScheduled bool
 	dialed         int
@@ -125,7 +130,7 @@
 // New returns an empty pool for the server at address. A response whose body is
 // larger than maxBody bytes is an error.
 func New(address string, h HeaderCodec, maxBody int, options ...Option) *Pool {
-	p := &Pool{address: address, codec: h, maxBody: maxBody, all: make(map[*conn]struct{})}
+	p := &Pool{address: address, codec: h, maxBody: maxBody, all: make(map[*conn]struct{}), known: history.New(knownRequests)}
 	for _, o := range options {
 		o(p)
 	}
@@ -215,37 +220,29 @@
 	return c
 }
 
-// takeIdle removes and returns the most recently used idle connection, or nil. It
-// passes over connections that have carried a request with the same ID, because a
-// late second copy of that response would match the new request. If there are no
-// others it closes one of them, so that a client that repeats an ID does not add
-// to the connections of the server.
+// takeIdle removes and returns the most recently used idle connection, or nil. A
+// request whose ID the server has had before gets none: on any of them a late second
+// copy of the earlier response, such as a refusal, would match the new request. One
+// connection is closed instead, so that a client that repeats an ID does not add to
+// the connections of the server.
 func (p *Pool) takeIdle(now time.Time, id string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	known := -1
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		c := p.idle[i]
-		expired := now.Sub(c.lastUsed) > c.maxIdle
-		if !expired && slices.Contains(c.requests, id) {
-			known = i
-			continue
-		}
-		p.idle = slices.Delete(p.idle, i, i+1)
-		if known > i {
-			known--
-		}
-		if expired {
+	known := p.known.Add(id)
+	for len(p.idle) > 0 {
+		last := len(p.idle) - 1
+		c := p.idle[last]
+		p.idle = slices.Delete(p.idle, last, last+1)
+		if known || now.Sub(c.lastUsed) > c.maxIdle {
 			c.discard()
+			if known {
+				return nil
+			}
 			continue
 		}
 		p.reused++
 		return c
 	}
-	if known >= 0 {
-		p.idle[known].discard()
-		p.idle = slices.Delete(p.idle, known, known+1)
-	}
 	return nil
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -420,6 +420,51 @@
 	require.Equal(t, "third", string(do(p, "a", time.Second).Body.Bytes()))
 }
 
+// Guards against a late second copy of an earlier refusal that is taken for the
+// answer to a request which the server runs: to one with the same ID, which a run
+// that is repeated sends again, after any number of other requests, and to others.
+func TestLateCopyOfRefusal(t *testing.T) {
+	refusal := func(id string) string {
+		return "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n"
+	}
+	for others := range 20 {
+		var first net.Conn
+		p, _ := serve(t, func(n int, id string, c net.Conn) bool {
+			switch {
+			case n == 1:
+				first = c
+				io.WriteString(c, refusal(id))
+				return true
+			case n == others+2 && c == first:
+				io.WriteString(c, refusal("a"))
+			}
+			io.WriteString(c, response(id, "run"))
+			return true
+		})
+		require.True(t, do(p, "a", time.Second).NotRun)
+		for i := range others {
+			require.NoError(t, do(p, fmt.Sprint(i), time.Second).Err)
+		}
+		a := do(p, "a", time.Second)
+		require.False(t, a.NotRun, "after %d others", others)
+		require.Equal(t, "run", string(a.Body.Bytes()), "after %d others", others)
+	}
+	for copies := range 5 {
+		p, _ := serve(t, func(n int, id string, c net.Conn) bool {
+			if n == 1 {
+				io.WriteString(c, refusal(id))
+				return true
+			}
+			io.WriteString(c, strings.Repeat(refusal("a"), copies)+response(id, "run"))
+			return true
+		})
+		require.True(t, do(p, "a", time.Second).NotRun)
+		a := do(p, "b", time.Second)
+		require.False(t, a.NotRun, "%d copies", copies)
+		require.Equal(t, copies > 2, a.Err != nil, "%d copies", copies)
+	}
+}
+
 // Guards against a client that repeats one request ID and with it uses up the
 // connections of the server, since no connection carries an ID twice.
 func TestRepeatedIDKeepsConnectionsBounded(t *testing.T) {
