--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -465,6 +465,48 @@
 	}
 }
 
+// headers are complete header sections of a success, whose body may be empty.
+var headers = []string{
+	"HTTP/1.1 200 OK\r\nId: ID\r\nSeal: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nSeal: 1\r\nContent-Length: 1\r\nId: ID\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nId: ID\r\nSeal: 1\r\nConnection: close\r\n\r\n",
+	"HTTP/1.1 200 OK\nId: ID\nSeal: 1\nContent-Length: 0\n\n",
+	"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: ID\r\nSeal: 1\r\n\r\n",
+	"HTTP/1.1 204 No Content\r\nId: ID\r\nSeal: 1\r\n\r\n",
+}
+
+// Guards against a server that stops in the middle of its header section and closes,
+// and a client that gets a success with an empty or short body, framed as whole.
+func TestHeaderThatBreaksOff(t *testing.T) {
+	for _, header := range headers {
+		for end := range len(header) {
+			part := header[:end]
+			p, _ := serve(t, func(_ int, id string, c net.Conn) bool {
+				io.WriteString(c, strings.ReplaceAll(part, "ID", id))
+				return false
+			})
+			a := do(p, "ID", time.Second)
+			require.Error(t, a.Err, "%q", part)
+			require.True(t, a.Sent, "%q", part)
+			require.False(t, a.NotRun, "%q", part)
+			require.Nil(t, a.Body, "%q", part)
+		}
+	}
+}
+
+// Guards against a health check that passes because the server stopped in the middle
+// of its header section.
+func TestHealthCheckWhoseHeaderBreaksOff(t *testing.T) {
+	const header = "HTTP/1.1 200 OK\r\nInstance-Name: i-1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+	for end := range len(header) {
+		address := serveRaw(t, func(c net.Conn) { io.WriteString(c, header[:end]) })
+		read := false
+		err := upstream.CheckHealth(t.Context(), address, "/health", time.Second, func(*fasthttp.ResponseHeader) { read = true })
+		require.Error(t, err, "%q", header[:end])
+		require.False(t, read, "%q", header[:end])
+	}
+}
+
 // Guards against a client that repeats one request ID and with it uses up the
 // connections of the server, since no connection carries an ID twice.
 func TestRepeatedIDKeepsConnectionsBounded(t *testing.T) {
