Keep a link open while a large body crosses it

A body that takes over a second on a link, 60 MiB at 200 Mbit/s for example, let the link look unresponsive: only whole frames counted as signs of life, and answers wait behind the body. The link was closed, and all other requests on it ended as unknown.

Evidence: TestLargeBodyOnSlowLink on the code before: the link ends after 12.7 MB of 24 MiB at 8 MB/s.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -34,11 +34,11 @@
 
 // Link is a connection to another node. It is safe for concurrent use.
 type Link struct {
-	conn           net.Conn
-	address        string // of the other node; empty for an accepted connection
-	framesReceived atomic.Uint64
-	traffic        *Traffic
-	budget         *memory.Budget // nil if there is none
+	conn     net.Conn
+	address  string        // of the other node; empty for an accepted connection
+	progress atomic.Uint64 // reads, and writes of large bodies
+	traffic  *Traffic
+	budget   *memory.Budget // nil if there is none
 
 	mu            sync.Mutex
 	pending       batch  // frames that are not yet written
@@ -191,6 +191,10 @@
 		if err := writeAll(l.conn, joined); err != nil {
 			return err
 		}
+		if size >= maxWrite {
+			// The other node reads, though its answers wait behind this body.
+			l.progress.Add(1)
+		}
 		joined, size = nil, 0
 	}
 	return nil
@@ -216,13 +220,24 @@
 
 // readFrames passes frames to h until reading fails, and returns the error.
 func (l *Link) readFrames(h Handler) error {
-	r := bufio.NewReaderSize(l.conn, readBufferSize)
+	r := bufio.NewReaderSize(&progressReader{link: l}, readBufferSize)
 	for {
 		f, err := frame.Read(r, l.budget)
 		if err != nil {
 			return err
 		}
-		l.framesReceived.Add(1)
 		h.HandleFrame(l, f)
 	}
 }
+
+// progressReader counts reads of a link. A large frame takes many.
+type progressReader struct{ link *Link }
+
+// Read implements io.Reader.
+func (r *progressReader) Read(p []byte) (int, error) {
+	n, err := r.link.conn.Read(p)
+	if n > 0 {
+		r.link.progress.Add(1)
+	}
+	return n, err
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -25,10 +25,9 @@
 	minLinkLifetime = time.Second
 	// checkInterval is the interval between two liveness checks of the links.
 	checkInterval = 250 * time.Millisecond
-	// maxSilentChecks is the number of consecutive checks without a received
-	// frame, while a response is pending, after which a link is closed. With
-	// checkInterval it makes one second, several times the longest round trip
-	// between regions.
+	// maxSilentChecks is the number of consecutive checks without progress, while
+	// a response is pending, after which a link is closed. With checkInterval it
+	// makes one second, several times the longest round trip between regions.
 	maxSilentChecks = 4
 )
 
@@ -65,8 +64,8 @@
 
 // check is the result of the last liveness check of a link.
 type check struct {
-	framesReceived uint64
-	silentChecks   int
+	progress     uint64
+	silentChecks int
 }
 
 // Option sets a property of a Mesh.
@@ -251,14 +250,14 @@
 func (m *Mesh) check() {
 	for _, l := range m.Links() {
 		if !m.handler.ResponsePending(l) {
-			m.record(l, check{framesReceived: l.framesReceived.Load()})
+			m.record(l, check{progress: l.progress.Load()})
 			continue
 		}
 		m.mu.Lock()
 		last := m.checks[l]
 		m.mu.Unlock()
-		if n := l.framesReceived.Load(); n != last.framesReceived {
-			m.record(l, check{framesReceived: n})
+		if n := l.progress.Load(); n != last.progress {
+			m.record(l, check{progress: n})
 			continue
 		}
 		last.silentChecks++
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -1,7 +1,9 @@
 package peer_test
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -13,6 +15,7 @@
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/payload"
 )
 
 // handler records connection events and the ids of cancel frames, and answers
@@ -203,3 +206,38 @@
 	_, _, _, unreachable := h.counts()
 	require.Zero(t, unreachable)
 }
+
+// Guards against a link that is closed, with all offers on it, because a large body
+// takes longer to write than the time in which an unresponsive node is detected.
+func TestLargeBodyOnSlowLink(t *testing.T) {
+	const (
+		size   = 24 << 20
+		piece  = 256 << 10
+		period = 30 * time.Millisecond // 8 MB a second
+	)
+	h := &handler{}
+	h.pending.Store(true)
+	m := peer.NewMesh(h)
+	defer m.Close()
+	ln := listen(t, "127.0.0.1:0")
+	m.Connect(t.Context(), ln.Addr().String())
+	conn, err := ln.Accept()
+	require.NoError(t, err)
+	defer conn.Close()
+	go m.MonitorLinks(t.Context())
+	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
+	sent := make(chan bool, 1)
+	go func() {
+		body, err := payload.Read(bytes.NewReader(make([]byte, size)), size, nil)
+		sent <- err == nil && peer.Send(m.Link(ln.Addr().String()), frame.KindOffer, &frame.Offer{ID: 1}, body)
+	}()
+	received := 0
+	for buffer := make([]byte, piece); received < size; time.Sleep(period) {
+		n, err := io.ReadFull(conn, buffer)
+		received += n
+		require.NoError(t, err, "after %d bytes", received)
+	}
+	require.True(t, <-sent)
+	_, down, _, _ := h.counts()
+	require.Zero(t, down)
+}
