Bound what else a node reads: store, configuration, entries, heartbeats

Pages of the store were not counted in the memory budget. A configuration from another node could have 80 MiB, and its decoded form several times that. Entries of nodes, and records of removed ones, had no bound in number. The listeners for heartbeats, readiness and metrics took any number of connections with 64 KiB each, and waited for a slow request without end.

Change: the store's pages count in the budget (they have bounds and are not refused); configurations of more than 1 MiB are rejected (the store takes 256 KiB a record); 32,768 entries; removed ones are forgotten after their 60 s; 64 connections a listener, and 10 s for a request. A node no longer blocks at its start if a heartbeat has announced a change of its entry first (read only, no test).

--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -124,7 +124,7 @@
 	}
 	r.journal.Write(event.SettingsReloaded, logrus.Fields{"cause": cause, "log": next.LogAddr.String()})
 	if next.LogAddr != r.env.LogAddr {
-		r.node.SetLog(platform.NewLog(next))
+		r.node.SetLog(platform.NewLog(next, r.node.Budget()))
 	}
 	r.env = next
 }
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -36,6 +36,12 @@
 	// stopping node exits even with open requests. It covers the process exit
 	// itself.
 	exitMargin = 600 * time.Millisecond
+	// maxAuxiliaryBody and maxAuxiliaryConnections bound the memory of a listener
+	// for heartbeats, readiness checks or metrics to 4 MiB.
+	maxAuxiliaryBody        = 64 << 10
+	maxAuxiliaryConnections = 64
+	// auxiliaryReadTimeout bounds the time in which such a request arrives.
+	auxiliaryReadTimeout = 10 * time.Second
 	// stopPollInterval is how often a stopping node checks whether it may exit.
 	stopPollInterval = 25 * time.Millisecond
 )
@@ -114,7 +120,9 @@
 		WriteBufferSize:       1024,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
-		MaxRequestBodySize:    64 << 10,
+		MaxRequestBodySize:    maxAuxiliaryBody,
+		Concurrency:           maxAuxiliaryConnections,
+		ReadTimeout:           auxiliaryReadTimeout,
 		IdleTimeout:           time.Minute,
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -179,6 +179,9 @@
 // maxResponseBody bounds the body of a backend server's response, in bytes.
 const maxResponseBody = 64 << 20
 
+// Budget returns the memory budget of the node.
+func (n *Node) Budget() *memory.Budget { return n.budget }
+
 // SetLog replaces the client of the platform log.
 func (n *Node) SetLog(l CompactedLog) { n.log.Store(&l) }
 
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -41,6 +42,9 @@
 	// domains are told of a new configuration. It exceeds the time in which the
 	// log readers of a domain read it and its other nodes request it.
 	remoteAnnouncementDelay = 600 * time.Millisecond
+	// maxConfigurationBytes bounds a configuration. The log takes records of up to
+	// 256 KiB.
+	maxConfigurationBytes = 1 << 20
 	// rewriteInterval is the mean interval between the writes of all nodes after
 	// the log came back from a copy. It keeps them to a part of the writes that
 	// the log takes in a second.
@@ -215,6 +219,9 @@
 // announced to the other nodes.
 func (n *Node) applyConfiguration(rawConfiguration []byte, fromLog bool) {
 	t, err := fault.Call(func() (*routing.Table, error) {
+		if len(rawConfiguration) > maxConfigurationBytes {
+			return nil, &configurationSizeError{size: len(rawConfiguration)}
+		}
 		return n.platform.Configuration(rawConfiguration, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	})
 	if err != nil {
@@ -237,6 +244,14 @@
 	}
 }
 
+// configurationSizeError reports a configuration that is too large to be decoded.
+type configurationSizeError struct{ size int }
+
+// Error states the size.
+func (e *configurationSizeError) Error() string {
+	return fmt.Sprintf("configuration of %d bytes is larger than %d", e.size, maxConfigurationBytes)
+}
+
 // announceConfiguration announces a configuration that was read from the log.
 // Each failure domain has its own log readers, so the nodes of the own domain are
 // told at once and the others later. By then they have the configuration, unless
@@ -269,7 +284,7 @@
 func (n *Node) maintainEntry() {
 	var retry backoff
 	peersKnown := false
-	n.entryChanged <- struct{}{}
+	n.signalEntryChange()
 	for {
 		select {
 		case <-n.ctx.Done():
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -72,6 +73,10 @@
 	at    time.Time
 }
 
+// maxEntries bounds the number of entries. It is several times the largest
+// deployment.
+const maxEntries = 1 << 15
+
 // removalTTL is the time for which a removed entry is not added again. Other
 // nodes still exchange the entry for a few rounds.
 const removalTTL = 60 * time.Second
@@ -93,7 +98,7 @@
 		delete(r.removed, e.Node)
 	}
 	old, ok := r.entries[e.Node]
-	if ok && !e.Newer(old) {
+	if ok && !e.Newer(old) || !ok && len(r.entries) >= maxEntries {
 		return false
 	}
 	b := &r.buckets[bucket(e.Node)]
@@ -144,6 +149,7 @@
 	}
 	r.buckets[bucket(node)] ^= e.fingerprint()
 	delete(r.entries, node)
+	maps.DeleteFunc(r.removed, func(_ string, d removal) bool { return now.Sub(d.at) >= removalTTL })
 	r.removed[node] = removal{entry: e, at: now}
 	r.changes++
 }
--- a/pkg/registry/registry_test.go
+++ b/pkg/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -111,3 +112,14 @@
 	require.False(t, r.IsLeaving(next), "the memory is bounded")
 	require.True(t, r.IsLeaving(registry.Entry{Node: "a", Instance: "i-2", Born: 5}))
 }
+
+// Guards against entries without end of another writer.
+func TestEntriesAreBounded(t *testing.T) {
+	const limit = 1 << 15
+	r := registry.New()
+	for i := range limit + 10 {
+		r.Merge(start, registry.Entry{Node: strconv.Itoa(i), Incarnation: 1})
+	}
+	require.Equal(t, limit, r.Len())
+	require.True(t, r.Merge(start, registry.Entry{Node: "0", Incarnation: 2}), "known nodes stay up to date")
+}
