--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -71,6 +71,12 @@
 	h.refusals = append(h.refusals, err)
 }
 
+func (h *handler) refused() []error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]error(nil), h.refusals...)
+}
+
 func (h *handler) handled() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -351,6 +357,6 @@
 	_, conn := serveWithin(t, h, memory.New(4<<10))
 	_, err := bufio.NewReader(conn).ReadByte()
 	require.Error(t, err)
-	require.Len(t, h.refusals, 1)
+	require.Len(t, h.refused(), 1)
 	require.Empty(t, h.handled())
 }
