Log the window that refused a request as it was

The review saw a data race: the log line of a refused request read the fields of its window after Node.mu had been released. What the window was at the refusal is taken under the lock now. Without effect on requests.

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -140,7 +140,7 @@
 	case w.Admit(now):
 		req.window = w
 	case n.callsTraced:
-		req.rejectedBy = w
+		req.rejection = &windowState{size: int(w.Size()), inFlight: w.InFlight(), queueDelay: w.QueueDelay()}
 		return outcome.Overload
 	}
 	// If no call has ever been traced to its parent execution, this may be a
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -39,7 +39,7 @@
 	unknownOutcome  bool           // a backend server may have run an earlier attempt
 	parent          *execution     // execution that sent the request, if known
 	window          *window.Window // window that counts the request; nil for nested calls
-	rejectedBy      *window.Window // window that refused the request, if any
+	rejection       *windowState   // state of the window that refused the request, if any
 	queueDelay      time.Duration  // time queued at backend servers, including nested calls
 	capacityRefused bool           // a node refused it for lack of capacity
 	overloaded      bool           // it or one of its nested calls failed for lack of capacity
@@ -48,6 +48,12 @@
 	results         chan offerResult
 }
 
+// windowState is the state of a window for the log.
+type windowState struct {
+	size, inFlight int
+	queueDelay     time.Duration
+}
+
 func (n *Node) newRequest(id string, timeout time.Duration, route *routing.Route, r *ingress.Request) *request {
 	clientDeadline := r.ReceivedAt.Add(timeout)
 	if t := route.Timeout(); t > 0 && t < timeout {
@@ -118,8 +124,8 @@
 		"offers": req.offerCount, "sends": req.serverAttempts, "nodes": strings.Join(req.triedNodes, ","),
 		"age_ms": time.Since(req.arrival).Milliseconds(),
 	}
-	if w := req.rejectedBy; w != nil {
-		f["window"], f["open"], f["delay_ms"] = int(w.Size()), w.InFlight(), w.QueueDelay().Milliseconds()
+	if w := req.rejection; w != nil {
+		f["window"], f["open"], f["delay_ms"] = w.size, w.inFlight, w.queueDelay.Milliseconds()
 	}
 	return f
 }
