--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -15,8 +15,7 @@
 
 // Holders.
 const (
-	Connection  Holder = iota // buffers and stacks of a connection
-	Header                    // header section of a request that exceeds the buffer of its connection
+	Connection  Holder = iota // buffers and stacks of a connection, and the header section of its request
 	Request                   // body of a request
 	Response                  // body of a backend server's response
 	Frame                     // message of another node
@@ -26,7 +25,7 @@
 )
 
 // holderNames are the names of the holders in metrics and logs.
-var holderNames = [HolderCount]string{"connection", "header", "request", "response", "frame", "queue", "store"}
+var holderNames = [HolderCount]string{"connection", "request", "response", "frame", "queue", "store"}
 
 // String returns the name of the holder.
 func (h Holder) String() string {
