--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -123,8 +123,8 @@
 }
 
 // receive reads the header of a request into req and returns the body. It sets no
-// deadline for a header section that has arrived completely, as most have. An
-// *memory.ExhaustedError of the header section leaves the header empty.
+// deadline for a header section that has arrived completely, as most have. After a
+// *memory.ExhaustedError for the header section the header is empty.
 func (c *client) receive(req *fasthttp.Request, now time.Time, limits *routing.Limits) (*payload.Body, error) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) //nolint:errcheck // never fails for buffered bytes
 	if !bytes.Contains(buffered, headerEnd) && !c.extendReadDeadline(now, limits.HeaderTimeout) {
--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -123,8 +123,9 @@
 // message without a release does not shrink the budget for good.
 type Claim struct{ account *account }
 
-// Claim returns an empty claim, or nil if b is nil. If class is not Fixed, it is revocable until
-// Complete is called: revoke, which must not block, then ends the transfer.
+// Claim returns an empty claim, or nil if b is nil. If class is not Fixed, the claim
+// can be revoked until Complete is called: revoke, which must not block, then ends
+// the transfer.
 func (b *Budget) Claim(h Holder, class Class, revoke func()) *Claim {
 	if b == nil {
 		return nil
@@ -189,10 +190,9 @@
 	a.add(int64(n))
 }
 
-// victim returns the claim to be revoked in favor of n more bytes for a, or nil if
-// there is none. Of a class the largest goes first. A claim goes only if it is
-// larger than a would be, unless it is the only one of the two without an
-// announced end.
+// victim returns the account to be revoked in favor of n more bytes for a, or nil if
+// there is none. Of a class the largest goes first. An account goes only if it is
+// larger than a would be, or if it is Endless and a is not.
 func (b *Budget) victim(a *account, n int64) *account {
 	var found *account
 	for v := range b.arriving {
