Set the deadline before the pause in a test of a paused server

It had begun 58 us before its end: beside load the goroutine that sends the request began only after the pause and set its deadline then, so the request came in time and was right to begin.

The deadline is now set before the pause, which outlasts it, so that the request is late whenever it is sent. What the test checks is as before, and every pause counts.

--- a/internal/lab/server/server_test.go
+++ b/internal/lab/server/server_test.go
@@ -154,7 +154,9 @@
 		b.server.SetPaused(true)
 		var group conc.WaitGroup
 		status := 0
-		group.Go(func() { status = b.status("/days", wire.Deadline, deadlineIn(10)) })
+		// The deadline passes during the pause, however late the request is sent.
+		deadline := deadlineIn(10)
+		group.Go(func() { status = b.status("/days", wire.Deadline, deadline) })
 		time.Sleep(pause)
 		b.server.SetPaused(false)
 		group.Wait()
