--- a/internal/framing/doc.go
+++ b/internal/framing/doc.go
@@ -1,3 +1,3 @@
-// Package framing checks that the header section of an HTTP/1.1 message states
-// the length of its body in one way only.
+// Package framing reads the body of an HTTP/1.1 message, and checks that the header
+// section states the length of the body in one way only.
 package framing
