Do not rely on the order in which a return statement is evaluated

frame.Read returned a frame beside the call that fills it in. The language leaves open whether the frame is copied before or after the call; this compiler copies it after, as TestLongFrame and TestFramesBeyondTheBudget show, so nothing changes in a run.

--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -261,7 +261,8 @@
 		f.Message, f.Body = data[:length:length], payload.NewBody(data[length:], nil)
 		return f, nil
 	}
-	return f, f.readLarge(r, int(length), int(size-length), b)
+	err := f.readLarge(r, int(length), int(size-length), b)
+	return f, err
 }
 
 // readLarge reads a message and a body that need a claim. Content for which there
