Log and count withdrawn offers at the node that runs them

The entry node logged that a client left, the node beside the server logged nothing, and a cancel did not say when it had been sent.

Change: a cancel carries the reading of the sender's clock, as offers do. Event 659 tells for each withdrawn offer what had become of it and by how much the withdrawal was late; event 654 how many offers were open. Metrics: offers_withdrawn, offers_withdrawn_running, server_requests_unwanted (sent to the server after the sender had withdrawn them), calls_unwanted (calls of the server for withdrawn requests, which pkg/withdrawal remembers). No decision changes.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -64,4 +64,5 @@
 	OfferRefused          = register(656, logrus.InfoLevel, "offer refused")
 	BackendRequestFailed  = register(657, logrus.WarnLevel, "run failed")
 	MemoryExhausted       = register(658, logrus.WarnLevel, "memory budget exhausted")
+	OfferWithdrawn        = register(659, logrus.InfoLevel, "offer withdrawn")
 )
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -31,6 +31,7 @@
 	ticket     runner.Request[*execution]
 	exchange   *upstream.Exchange
 	server     readiness.Incarnation // server that the request is sent to
+	arrivedAt  time.Time
 	startedAt  time.Time
 	canceled   bool
 	queueDelay time.Duration // queue delay of its nested calls
@@ -56,7 +57,7 @@
 // the link stalled or this process was paused, has used up a part of it. The body
 // is released with the reply.
 func (n *Node) acceptOffer(now time.Time, from *peer.Link, o *frame.Offer, body *payload.Body) {
-	ex := &execution{key: executionKey{link: from, id: o.ID}, offer: *o, body: body}
+	ex := &execution{key: executionKey{link: from, id: o.ID}, offer: *o, body: body, arrivedAt: now}
 	n.mu.Lock()
 	ex.offer.Wait -= n.transitDelay(now, from, o.Sent)
 	ex.ticket = runner.Request[*execution]{
@@ -133,6 +134,7 @@
 	n.stats.sends.Inc(1)
 	n.callGraph.Run(ex.offer.Route)
 	n.runningByRequest[ex.offer.Request] = ex
+	n.withdrawals.Remove(ex.offer.Request)
 }
 
 // startExecution sends a request to the local backend server.
@@ -319,8 +321,9 @@
 	}
 }
 
-// cancelExecution cancels an execution whose offer was canceled by its sender.
-func (n *Node) cancelExecution(key executionKey) {
+// cancelExecution cancels an execution whose offer was withdrawn by its sender. The
+// withdrawal was delayed on its link by late.
+func (n *Node) cancelExecution(now time.Time, key executionKey, late time.Duration) {
 	n.mu.Lock()
 	ex := n.executions[key]
 	if ex == nil {
@@ -331,6 +334,7 @@
 	ex.canceled = true
 	isQueued := ex.startedAt.IsZero()
 	n.runner.Cancel(&ex.ticket)
+	n.recordWithdrawal(now, ex, late)
 	e := ex.exchange
 	n.mu.Unlock()
 	if isQueued {
@@ -342,8 +346,28 @@
 	}
 }
 
+// recordWithdrawal counts and logs the withdrawal of an offer.
+func (n *Node) recordWithdrawal(now time.Time, ex *execution, late time.Duration) {
+	n.stats.withdrawn.Inc(1)
+	state := "queued"
+	if !ex.startedAt.IsZero() {
+		state = "running"
+		n.stats.withdrawnRuns.Inc(1)
+		n.withdrawals.Add(now, ex.offer.Request, ex.ticket.Expires)
+		if ex.startedAt.After(now.Add(-late)) {
+			n.stats.unwantedRuns.Inc(1)
+		}
+	}
+	n.journal.WriteSampled(now, event.OfferWithdrawn, func() logrus.Fields {
+		return logrus.Fields{
+			"request": ex.offer.Request, "state": state, "inner": ex.offer.Nested,
+			"age_ms": now.Sub(ex.arrivedAt).Milliseconds(), "late_ms": late.Milliseconds(),
+		}
+	})
+}
+
 // cancelLinkExecutions cancels all executions offered over a closed link.
-func (n *Node) cancelLinkExecutions(l *peer.Link) {
+func (n *Node) cancelLinkExecutions(now time.Time, l *peer.Link) {
 	n.mu.Lock()
 	var keys []executionKey
 	for k := range n.executions {
@@ -353,7 +377,7 @@
 	}
 	n.mu.Unlock()
 	for _, k := range keys {
-		n.cancelExecution(k)
+		n.cancelExecution(now, k, 0)
 	}
 }
 
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"iter"
 	"strings"
 	"time"
 
@@ -131,6 +132,9 @@
 		n.calledServices[req.routeKey] = req.service
 		return outcome.None
 	}
+	if n.isWithdrawn(now, req.id) {
+		n.stats.unwantedCalls.Inc(1)
+	}
 	if n.stopping && now.After(n.admissionEnd) {
 		return outcome.Draining
 	}
@@ -165,16 +169,37 @@
 // parent returns the execution that sent a nested call, identified by a
 // dot-separated prefix of the request ID, or nil.
 func (n *Node) parent(id string) *execution {
-	for i := len(id) - 1; i > 0; i-- {
-		if id[i] == '.' {
-			if ex := n.runningByRequest[id[:i]]; ex != nil {
-				return ex
-			}
+	for ancestor := range ancestors(id) {
+		if ex := n.runningByRequest[ancestor]; ex != nil {
+			return ex
 		}
 	}
 	return nil
 }
 
+// isWithdrawn reports whether a request is a call of an execution that was
+// withdrawn, but that the local backend server may still run.
+func (n *Node) isWithdrawn(now time.Time, id string) bool {
+	for ancestor := range ancestors(id) {
+		if n.withdrawals.Contains(now, ancestor) {
+			return true
+		}
+	}
+	return false
+}
+
+// ancestors yields the possible IDs of the requests that caused a request, the
+// closest first.
+func ancestors(id string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for i := len(id) - 1; i > 0; i-- {
+			if id[i] == '.' && !yield(id[:i]) {
+				return
+			}
+		}
+	}
+}
+
 func (n *Node) allowance(service string) *allowance.Allowance {
 	a := n.retryBudgets[service]
 	if a == nil {
@@ -204,10 +229,15 @@
 				return reply
 			}
 		case <-disconnected:
+			open := len(req.openOffers)
 			n.cancelOffers(req, false)
 			req.delayUnknown = true
 			n.stats.abandoned.Inc(1)
-			n.journal.WriteSampled(time.Now(), event.ClientDisconnected, func() logrus.Fields { return req.logFields() })
+			n.journal.WriteSampled(time.Now(), event.ClientDisconnected, func() logrus.Fields {
+				f := req.logFields()
+				f["open"] = open
+				return f
+			})
 			return ingress.Response{Abort: true}
 		case <-timer.C:
 			if hedgeDelay == 0 {
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -66,7 +66,7 @@
 // node sent over it end with an unknown outcome.
 func (n *Node) LinkDown(l *peer.Link, cause error) {
 	now := time.Now()
-	n.cancelLinkExecutions(l)
+	n.cancelLinkExecutions(now, l)
 	n.mu.Lock()
 	delete(n.transits, l)
 	n.mu.Unlock()
@@ -138,7 +138,10 @@
 	case frame.KindCancel:
 		var c frame.Cancel
 		if c, err = decodeMessage[frame.Cancel](head); err == nil {
-			n.cancelExecution(executionKey{link: l, id: c.ID})
+			n.mu.Lock()
+			late := n.transitDelay(now, l, c.Sent)
+			n.mu.Unlock()
+			n.cancelExecution(now, executionKey{link: l, id: c.ID}, late)
 		}
 	case frame.KindEntries:
 		var e frame.Entries
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -37,6 +37,10 @@
 	malformed      metrics.Counter
 	unrouted       metrics.Counter
 	offersRefused  metrics.Counter
+	withdrawn      metrics.Counter // offers that were withdrawn while queued or running here
+	withdrawnRuns  metrics.Counter // those among them that had been sent to the server
+	unwantedRuns   metrics.Counter // those among them that were sent after they had been withdrawn
+	unwantedCalls  metrics.Counter // calls of the server for requests that had been withdrawn
 	logFailures    metrics.Counter
 	sends          metrics.Counter   // requests sent to the local backend server
 	latency        metrics.Histogram // of complete responses, in microseconds
@@ -60,6 +64,10 @@
 		malformed:      counter("requests_malformed"),
 		unrouted:       counter("requests_unrouted"),
 		offersRefused:  counter("offers_refused"),
+		withdrawn:      counter("offers_withdrawn"),
+		withdrawnRuns:  counter("offers_withdrawn_running"),
+		unwantedRuns:   counter("server_requests_unwanted"),
+		unwantedCalls:  counter("calls_unwanted"),
 		logFailures:    counter("log_failures"),
 		sends:          counter("server_requests"),
 		latency:        histogram("latency_us"),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -35,6 +35,7 @@
 	"github.com/papayapath/papayapath/pkg/runner"
 	"github.com/papayapath/papayapath/pkg/transit"
 	"github.com/papayapath/papayapath/pkg/window"
+	"github.com/papayapath/papayapath/pkg/withdrawal"
 )
 
 // HeaderCodec reads and writes the header fields of the platform.
@@ -121,6 +122,7 @@
 	executions         map[executionKey]*execution
 	transits           map[*peer.Link]*transit.Estimator // delays of the offers on inbound links
 	runningByRequest   map[string]*execution             // executions in progress, by request ID
+	withdrawals        *withdrawal.Record                // requests that were withdrawn while they ran here
 	expiryScheduled    bool
 	stopping           bool
 	admissionEnd       time.Time // if stopping, time from which new requests are refused
@@ -156,6 +158,7 @@
 		executions:       make(map[executionKey]*execution),
 		transits:         make(map[*peer.Link]*transit.Estimator),
 		runningByRequest: make(map[string]*execution),
+		withdrawals:      withdrawal.New(maxWithdrawals),
 		entryChanged:     make(chan struct{}, 1),
 	}
 	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
@@ -176,6 +179,10 @@
 	return n
 }
 
+// maxWithdrawals bounds the number of withdrawn requests that are remembered. At
+// the target, 320 calls a second arrive at a node, and one waits for 30 s at most.
+const maxWithdrawals = 10_000
+
 // maxResponseBody bounds the body of a backend server's response, in bytes.
 const maxResponseBody = 64 << 20
 
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -143,9 +143,9 @@
 	switch {
 	case p == nil:
 	case p.link == nil:
-		n.cancelExecution(executionKey{id: id})
+		n.cancelExecution(now, executionKey{id: id}, 0)
 	default:
-		peer.Send(p.link, frame.KindCancel, frame.Cancel{ID: id}, nil)
+		peer.Send(p.link, frame.KindCancel, frame.Cancel{ID: id, Sent: now.Sub(n.started)}, nil)
 	}
 }
 
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -124,8 +124,9 @@
 
 // Cancel withdraws an offer whose answer is no longer needed.
 type Cancel struct {
-	_  struct{} `cbor:",toarray"`
-	ID uint64
+	_    struct{} `cbor:",toarray"`
+	ID   uint64
+	Sent time.Duration // reading of the sender's clock, with the origin of Offer.Sent
 }
 
 // Entries disseminates registry entries.
