See that a client leaves in every state of its connection

What callers saw: requests went on after their clients had left (GONE).

Cause: the watch of a connection ended for the rest of the request when its read deadline passed, which is that of an idle connection, and when further requests filled its buffer. By a deadline set late for the request before, it could also end at once, or cut the next request while that was received. A request was handled before anybody looked for the end of its connection, so that of a client which had left before its request was read was passed on.

Change: a deadline that passes while a request is handled is extended. With a full buffer, the watch waits for the end of the connection without reading (POLLRDHUP). The deadline that interrupts a watch is set under the lock under which the watch ends. A request is handled once all that has arrived has been read: the first wait for further bytes starts it, which costs no system call.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -8,7 +8,6 @@
 	"net"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/valyala/bytebufferpool"
@@ -51,19 +50,21 @@
 type client struct {
 	server *Server
 	conn   net.Conn
-	reader *bufio.Reader
+	source *source
+	reader *bufio.Reader // of source
 	claim  *memory.Claim // for the connection and its buffer
 
-	pipelined    atomic.Bool // bytes of a further request have arrived
 	readDeadline time.Time
 
-	mu     sync.Mutex
-	active bool // a request is being received or handled
-	closed bool
+	mu        sync.Mutex
+	active    bool // a request is being received or handled
+	watching  bool // serve reads on while a request is handled
+	pipelined bool // bytes of a further request have arrived during the watch
+	closed    bool
 }
 
 func newClient(s *Server, conn net.Conn, claim *memory.Claim) *client {
-	return &client{server: s, conn: conn, claim: claim}
+	return &client{server: s, conn: conn, source: newSource(conn), claim: claim}
 }
 
 // serve handles the requests of the connection sequentially.
@@ -71,7 +72,7 @@
 	defer c.server.remove(c)
 	defer c.claim.Release()
 	defer c.conn.Close() //nolint:errcheck // the connection is discarded
-	c.reader = bufio.NewReaderSize(c.conn, readBufferSize)
+	c.reader = bufio.NewReaderSize(c.source, readBufferSize)
 	for c.serveRequest() {
 	}
 }
@@ -107,7 +108,7 @@
 		body.Release()
 		return false
 	}
-	return c.handleWatched(req, body, receivedAt)
+	return c.handleWatched(req, body, receivedAt, limits.IdleTimeout)
 }
 
 // extendReadDeadline gives the client at least d from now to send its next
@@ -196,7 +197,7 @@
 	}
 	unread, _ := c.reader.Peek(c.reader.Buffered()) //nolint:errcheck // never fails for buffered bytes
 	unread = append([]byte(nil), unread...)
-	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(unread), c.conn), size)
+	c.reader = bufio.NewReaderSize(io.MultiReader(bytes.NewReader(unread), c.source), size)
 	return nil
 }
 
@@ -247,39 +248,72 @@
 }
 
 // handleWatched handles a request in a goroutine of its own while it watches the
-// connection. It reports whether the connection stays open.
-func (c *client) handleWatched(req *fasthttp.Request, body *payload.Body, receivedAt time.Time) bool {
+// connection. It reports whether the connection stays open. The request is handled
+// once all that the client has sent has been read, so that a client that left before
+// its request was read is known to have left.
+func (c *client) handleWatched(req *fasthttp.Request, body *payload.Body, receivedAt time.Time, idleTimeout time.Duration) bool {
 	c.server.activeRequests.Add(1)
-	c.pipelined.Store(c.reader.Buffered() > 0)
+	c.mu.Lock()
+	c.watching, c.pipelined = true, c.reader.Buffered() > 0
+	c.mu.Unlock()
 	disconnected, done := make(chan struct{}), make(chan bool, 1)
-	go c.handle(req, body, receivedAt, disconnected, done)
-	if c.watch(done) {
-		close(disconnected)
-		<-done
-		return false
+	c.source.drained = func() { go c.handle(req, body, receivedAt, disconnected, done) }
+	if !c.watch(idleTimeout) {
+		return <-done
 	}
-	return <-done
+	close(disconnected)
+	c.source.reportDrained()
+	<-done
+	return false
 }
 
 // watch returns true when the client closes the connection, and false when the
-// response has been written. Bytes of a pipelined request stay buffered.
-func (c *client) watch(done chan bool) bool {
+// request has been handled and the next one has begun to arrive or is overdue. Bytes
+// of pipelined requests stay buffered.
+func (c *client) watch(idleTimeout time.Duration) (left bool) {
 	for {
-		n := c.reader.Buffered()
-		if n >= c.reader.Size() {
-			return false
+		var err error
+		if n := c.reader.Buffered(); n < c.reader.Size() {
+			_, err = c.reader.Peek(n + 1)
+		} else if err = c.source.awaitEnd(); err == nil {
+			return true
 		}
-		if _, err := c.reader.Peek(n + 1); err != nil {
-			// handle ends the watch by a deadline in the past, so the next request
-			// needs a new one.
-			c.readDeadline = time.Time{}
-			return !isTimeout(err)
+		switch {
+		case err == errNoDescriptor:
+			c.stopWatch()
+			return false
+		case err != nil && !isTimeout(err):
+			return true
 		}
-		c.pipelined.Store(true)
-		if len(done) > 0 {
+		if c.endWatch(err == nil) {
 			return false
 		}
+		// The request may be handled for longer than the client may be idle.
+		if err != nil && !c.extendReadDeadline(time.Now(), idleTimeout) {
+			return true
+		}
+	}
+}
+
+// stopWatch ends the watch while the request may still be handled.
+func (c *client) stopWatch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.watching = false
+}
+
+// endWatch ends the watch if the request has been handled, and reports whether it
+// did. If bytes of a further request have arrived, handle interrupts the watch.
+func (c *client) endWatch(pipelined bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pipelined = c.pipelined || pipelined
+	c.watching = c.active
+	if !pipelined || !c.watching {
+		// The deadline has passed or may have been set by handle.
+		c.readDeadline = time.Time{}
 	}
+	return !c.watching
 }
 
 func isTimeout(err error) bool {
@@ -291,7 +325,7 @@
 // connection stays open.
 func (c *client) handle(req *fasthttp.Request, body *payload.Body, receivedAt time.Time, disconnected <-chan struct{}, done chan<- bool) {
 	response := c.server.handler.Handle(&Request{
-		Header: &req.Header, Body: body, ReceivedAt: receivedAt, Disconnected: disconnected,
+		Header: &req.Header, Body: body, ReceivedAt: receivedAt, Disconnected: disconnected, conn: c.conn,
 	})
 	last := req.Header.ConnectionClose() || c.server.keepAlivesDisabled.Load() || response.Abort
 	headOnly := req.Header.IsHead()
@@ -303,18 +337,11 @@
 	}
 	response.Body.Release()
 	c.server.activeRequests.Add(-1)
-	c.end()
+	keep = c.end() && keep
 	if !keep {
 		c.conn.Close() //nolint:errcheck // ends the watch
 	}
 	done <- keep
-	if keep {
-		// The watch continues as the wait for the next request. It is interrupted
-		// if one has already begun to arrive.
-		if c.pipelined.Load() && c.conn.SetReadDeadline(time.Unix(0, 1)) != nil {
-			c.conn.Close() //nolint:errcheck // ends the watch
-		}
-	}
 }
 
 // begin marks the connection as active. It returns false if the connection has
@@ -326,10 +353,14 @@
 	return !c.closed
 }
 
-func (c *client) end() {
+// end marks the connection as not active. The watch goes on as the wait for the next
+// request. It is interrupted if one has already begun to arrive. end returns false if
+// it cannot be.
+func (c *client) end() bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.active = false
-	c.mu.Unlock()
+	return !c.watching || !c.pipelined || c.conn.SetReadDeadline(time.Unix(0, 1)) == nil
 }
 
 // closeIdle closes the connection unless it is active.
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -4,10 +4,12 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/internal/socket"
 	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/routing"
@@ -19,6 +21,21 @@
 	Body         *payload.Body
 	ReceivedAt   time.Time       // of the first byte
 	Disconnected <-chan struct{} // closed when the client closes its connection
+
+	conn net.Conn
+}
+
+// HasLeft reports whether the client has closed its connection. It is exact even
+// before Disconnected is closed, which takes until the watch of the connection runs,
+// but costs a system call.
+func (r *Request) HasLeft() bool {
+	select {
+	case <-r.Disconnected:
+		return true
+	default:
+	}
+	conn, ok := r.conn.(syscall.Conn)
+	return ok && socket.HasHungUp(conn)
 }
 
 // Response is the response to a request.
