Do not pass on, retry or hedge a request whose client has left

What callers saw: requests reached servers after their clients had left.

Cause: Handle made the first offer before it looked whether the client was still there, slept while it waited for a configuration, and chose at random between a failed offer and the departure when both were known, so that it could retry or hedge.

Change: a client that is known to have left gets no offer. Before a retry or a hedge the socket is asked (poll), since the watch of the connection may not have run yet; both are rare. The wait for a configuration ends with the client.

The choice between a result and the departure was found by reading; no test makes both ready at once.

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -45,9 +45,10 @@
 	if timeout == 0 {
 		timeout = defaultTimeout
 	}
-	table := n.awaitConfiguration()
+	table := n.awaitConfiguration(r.Disconnected)
 	if table == nil {
-		return n.refuse(&request{id: id, arrival: r.ReceivedAt, clientDeadline: r.ReceivedAt.Add(timeout)}, outcome.Unavailable)
+		req := &request{id: id, arrival: r.ReceivedAt, clientDeadline: r.ReceivedAt.Add(timeout), client: r}
+		return n.endUnanswered(req, outcome.Unavailable)
 	}
 	route := findRoute(table, r.Header)
 	if route == nil {
@@ -59,7 +60,7 @@
 	if reason := n.admit(req); reason != outcome.None {
 		return n.refuse(req, reason)
 	}
-	reply := n.dispatch(req, r.Disconnected)
+	reply := n.dispatch(req)
 	n.recordEnd(req)
 	return reply
 }
@@ -84,13 +85,17 @@
 }
 
 // awaitConfiguration returns the routing table. After a start it waits briefly
-// for the first one; the result is nil if none arrives.
-func (n *Node) awaitConfiguration() *routing.Table {
+// for the first one; the result is nil if none arrives or the client leaves.
+func (n *Node) awaitConfiguration(disconnected <-chan struct{}) *routing.Table {
 	for range configurationPolls {
 		if t := n.table.Load(); t != nil {
 			return t
 		}
-		time.Sleep(pollInterval)
+		select {
+		case <-disconnected:
+			return nil
+		case <-time.After(pollInterval):
+		}
 	}
 	return n.table.Load()
 }
@@ -213,8 +218,8 @@
 const maxTrackedRoutes = 4096
 
 // dispatch offers a request to nodes until it has a response.
-func (n *Node) dispatch(req *request, disconnected <-chan struct{}) ingress.Response {
-	if reason := n.sendFirstOffer(req, disconnected); reason != outcome.None {
+func (n *Node) dispatch(req *request) ingress.Response {
+	if reason := n.sendFirstOffer(req); reason != outcome.None {
 		return n.endUnanswered(req, reason)
 	}
 	hedgeDelay := n.hedgeDelay(req)
@@ -228,17 +233,8 @@
 				n.cancelOffers(req, false)
 				return reply
 			}
-		case <-disconnected:
-			open := len(req.openOffers)
-			n.cancelOffers(req, false)
-			req.delayUnknown = true
-			n.stats.abandoned.Inc(1)
-			n.journal.WriteSampled(time.Now(), event.ClientDisconnected, func() logrus.Fields {
-				f := req.logFields()
-				f["open"] = open
-				return f
-			})
-			return ingress.Response{Abort: true}
+		case <-req.client.Disconnected:
+			return n.abandon(req)
 		case <-timer.C:
 			if hedgeDelay == 0 {
 				return n.timeOut(req)
@@ -250,11 +246,28 @@
 	}
 }
 
+// abandon ends a request whose client has left.
+func (n *Node) abandon(req *request) ingress.Response {
+	open := len(req.openOffers)
+	n.cancelOffers(req, false)
+	req.delayUnknown = true
+	n.stats.abandoned.Inc(1)
+	n.journal.WriteSampled(time.Now(), event.ClientDisconnected, func() logrus.Fields {
+		f := req.logFields()
+		f["open"] = open
+		return f
+	})
+	return ingress.Response{Abort: true}
+}
+
 // sendFirstOffer makes the first offer of a request. If no backend server of the
 // service is known, for example just after a start, it waits for one: briefly for
 // a new request, which the client can repeat, and longer for a nested call, whose
 // refusal would waste the work of its parent execution.
-func (n *Node) sendFirstOffer(req *request, disconnected <-chan struct{}) outcome.Reason {
+func (n *Node) sendFirstOffer(req *request) outcome.Reason {
+	if req.isDisconnected() {
+		return outcome.Canceled
+	}
 	maxWait := min(req.route.Objective()/firstOfferWaitDivisor, time.Until(req.deadline))
 	if req.offer.Nested {
 		maxWait = min(nestedCallWait, time.Until(req.deadline))
@@ -268,8 +281,8 @@
 	defer ticker.Stop()
 	for reason == outcome.Unavailable && time.Since(start) < maxWait {
 		select {
-		case <-disconnected:
-			return reason
+		case <-req.client.Disconnected:
+			return outcome.Canceled
 		case <-ticker.C:
 			reason = n.sendOffer(req)
 		}
@@ -304,6 +317,9 @@
 // that server has free capacity and the retry budgets permit another execution.
 // The first offer stays open, since its response may still arrive.
 func (n *Node) hedge(req *request) {
+	if req.client.HasLeft() {
+		return
+	}
 	now := time.Now()
 	n.mu.Lock()
 	allowed := !n.stopping && req.offerCount == 1 && len(req.openOffers) == 1 && n.roster.HasCapacity(n.chooseNode(now, req)) && n.takeRetryBudget(now, req, false)
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -209,6 +209,8 @@
 		return ingress.Response{}, false
 	case a.Reason == outcome.Suspect:
 		return n.endUnanswered(req, a.Reason), true
+	case !failed && req.client.HasLeft():
+		return n.endUnanswered(req, outcome.Canceled), true
 	}
 	reason := a.Reason
 	if a.Outcome == outcome.NotRun && !a.Sent || n.mayRetry(req, a) {
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -15,8 +15,12 @@
 )
 
 // endUnanswered returns the response to a request that got none from a backend
-// server: 502 if the request may have run, otherwise 503.
+// server: 502 if the request may have run, otherwise 503. A client that has left gets
+// none.
 func (n *Node) endUnanswered(req *request, reason outcome.Reason) ingress.Response {
+	if reason == outcome.Canceled || req.isDisconnected() {
+		return n.abandon(req)
+	}
 	req.overloaded = req.overloaded || req.capacityRefused
 	if !req.unknownOutcome {
 		return n.refuse(req, reason)
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -24,6 +24,7 @@
 // request is the state of a client request at its entry node.
 type request struct {
 	id              string
+	client          *ingress.Request
 	route           *routing.Route
 	routeKey        message.Route
 	service         string
@@ -62,6 +63,7 @@
 	req := &request{
 		clientDeadline: clientDeadline,
 		id:             id,
+		client:         r,
 		route:          route,
 		body:           r.Body,
 		arrival:        r.ReceivedAt,
@@ -98,6 +100,16 @@
 	return hash.Sum64()
 }
 
+// isDisconnected reports whether the client is known to have left.
+func (req *request) isDisconnected() bool {
+	select {
+	case <-req.client.Disconnected:
+		return true
+	default:
+		return false
+	}
+}
+
 // untilNextCheck returns the time until the response is overdue, given a nonzero
 // hedging delay, or until the deadline, whichever is earlier.
 func (req *request) untilNextCheck(hedgeDelay time.Duration) time.Duration {
