Run a delayed offer only when its sender still wants it

What callers saw: requests reached servers long after their clients had left (GONE).

Cause: a client leaves while its offer waits on a stalled link, or for a node that stands still. The withdrawal is queued behind the offer, both arrive together, and the node beside the server sent the request to the server before it read the next frame. The class: a message that takes back another travels behind it, and the receiver acts on one message at a time.

Change: an offer that was delayed by more than 250 ms on its link is held until its sender has answered a ping; what was sent before the answer, such as a withdrawal, has been read by then. The first offer of a link is held as well, since nothing tells whether it is late. It costs a round trip, and nothing for offers in time. At most 2048 offers of a link are held, further ones are refused as not run. When the link ends, they are not run.

Evidence: TestOfferWithdrawnOnStalledLinkIsNotRun fails on the code before, 6 of 6 cases: all withdrawn offers are run. TestOffersOfStalledLinkAreRunOnce holds the reverse: late offers that are still wanted run once.

The peers of two tests answer pings now, as nodes do; what they check is unchanged.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -54,30 +54,56 @@
 
 // acceptOffer runs, queues or refuses an offer for the local backend server. The
 // wait of an offer began when it was sent. An offer that is read late, because
-// the link stalled or this process was paused, has used up a part of it. The body
-// is released with the reply.
+// the link stalled or this process was paused, has used up a part of it. It is
+// confirmed first, and so is the first one of a link, of which nothing tells whether
+// it is late. The body is released with the reply.
 func (n *Node) acceptOffer(now time.Time, from *peer.Link, o *frame.Offer, body *payload.Body) {
 	ex := &execution{key: executionKey{link: from, id: o.ID}, offer: *o, body: body, arrivedAt: now}
 	n.mu.Lock()
-	ex.offer.Wait -= n.transitDelay(now, from, o.Sent)
+	isFirst := from != nil && n.transits[from] == nil
+	delay := n.transitDelay(now, from, o.Sent)
+	ex.offer.Wait -= delay
 	ex.ticket = runner.Request[*execution]{
 		Value: ex, Priority: o.Priority, Expires: now.Add(ex.offer.Wait),
 	}
-	if ex.offer.Wait <= 0 {
-		refusal := n.refuseOffer(now, ex, outcome.Expired)
-		n.mu.Unlock()
-		n.reply(refusal)
-		return
+	if delay > maxUnconfirmedDelay {
+		n.stats.delayed.Inc(1)
 	}
-	n.adoptNotice(now, o.Notice)
-	if reason := n.unavailability(now, o); reason != outcome.None {
-		refusal := n.refuseOffer(now, ex, reason)
+	mustConfirm := isFirst || delay > maxUnconfirmedDelay || n.confirmations[from] != nil
+	if mustConfirm && ex.offer.Wait > 0 && n.canHold(from) {
+		mustAsk := n.holdOffer(now, ex)
 		n.mu.Unlock()
-		n.reply(refusal)
+		if mustAsk {
+			ask(from)
+		}
 		return
 	}
-	decision, evicted := n.runner.Offer(now, &ex.ticket)
 	var replies []reply
+	isStarted := false
+	if mustConfirm && ex.offer.Wait > 0 {
+		replies = []reply{n.refuseOffer(now, ex, outcome.Overload)}
+	} else {
+		replies, isStarted = n.placeOffer(now, ex)
+	}
+	n.mu.Unlock()
+	n.reply(replies...)
+	if isStarted {
+		n.startExecution(now, ex)
+	}
+}
+
+// placeOffer starts, queues or refuses an offer. It returns the answers to refused
+// ones, and whether the execution has been started. The caller must hold n.mu, and
+// send the answers and call startExecution after releasing it.
+func (n *Node) placeOffer(now time.Time, ex *execution) (replies []reply, isStarted bool) {
+	if !now.Before(ex.ticket.Expires) {
+		return []reply{n.refuseOffer(now, ex, outcome.Expired)}, false
+	}
+	n.adoptNotice(now, ex.offer.Notice)
+	if reason := n.unavailability(now, &ex.offer); reason != outcome.None {
+		return []reply{n.refuseOffer(now, ex, reason)}, false
+	}
+	decision, evicted := n.runner.Offer(now, &ex.ticket)
 	if evicted != nil {
 		delete(n.executions, evicted.Value.key)
 		replies = append(replies, n.refuseOffer(now, evicted.Value, outcome.Preempted))
@@ -92,11 +118,7 @@
 		n.executions[ex.key] = ex
 		n.recordStart(now, ex)
 	}
-	n.mu.Unlock()
-	n.reply(replies...)
-	if decision == runner.Started {
-		n.startExecution(now, ex)
-	}
+	return replies, decision == runner.Started
 }
 
 // transitDelay returns by how much an offer was delayed on its link.
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -69,6 +69,7 @@
 	n.cancelLinkExecutions(now, l)
 	n.mu.Lock()
 	delete(n.transits, l)
+	delete(n.confirmations, l)
 	n.mu.Unlock()
 	if l.Address() == "" {
 		return
@@ -172,6 +173,8 @@
 		}
 	case frame.KindPing:
 		peer.Send(l, frame.KindPong, frame.Ping{}, nil)
+	case frame.KindPong:
+		n.handlePong(now, l)
 	}
 	f.Body.Release()
 	n.closeOnError(now, l, err)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -37,6 +37,7 @@
 	malformed      metrics.Counter
 	unrouted       metrics.Counter
 	offersRefused  metrics.Counter
+	delayed        metrics.Counter // offers that were delayed on their link
 	withdrawn      metrics.Counter // offers that were withdrawn while queued or running here
 	withdrawnRuns  metrics.Counter // those among them that had been sent to the server
 	unwantedRuns   metrics.Counter // those among them that were sent after they had been withdrawn
@@ -64,6 +65,7 @@
 		malformed:      counter("requests_malformed"),
 		unrouted:       counter("requests_unrouted"),
 		offersRefused:  counter("offers_refused"),
+		delayed:        counter("offers_delayed"),
 		withdrawn:      counter("offers_withdrawn"),
 		withdrawnRuns:  counter("offers_withdrawn_running"),
 		unwantedRuns:   counter("server_requests_unwanted"),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -121,6 +121,7 @@
 	pending            map[uint64]*pending
 	executions         map[executionKey]*execution
 	transits           map[*peer.Link]*transit.Estimator // delays of the offers on inbound links
+	confirmations      map[*peer.Link]*confirmation      // delayed offers, by inbound link
 	runningByRequest   map[string]*execution             // executions in progress, by request ID
 	withdrawals        *withdrawal.Record                // requests that were withdrawn while they ran here
 	expiryScheduled    bool
@@ -157,6 +158,7 @@
 		pending:          make(map[uint64]*pending),
 		executions:       make(map[executionKey]*execution),
 		transits:         make(map[*peer.Link]*transit.Estimator),
+		confirmations:    make(map[*peer.Link]*confirmation),
 		runningByRequest: make(map[string]*execution),
 		withdrawals:      withdrawal.New(maxWithdrawals),
 		entryChanged:     make(chan struct{}, 1),
