End the calls of a run that was withdrawn

What callers saw: requests reached servers after their clients had left (GONE).

Cause: when a client leaves, the connection of its run is closed, and most servers stop. One that goes on makes further calls. A call whose parent had been withdrawn found no parent and was admitted as a new request, and one that was in progress was queued, retried and hedged until its deadline.

Change: a run that is withdrawn ends its calls in progress, with 503 if no server was reached and 502 otherwise, and later ones are refused as not run until its deadline, unless the request with its ID runs again. A call that must not be repeated is withdrawn only while it is queued, never while it runs. Which call belongs to which run is known by the prefix of its ID, as for importance.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -34,6 +34,7 @@
 	arrivedAt  time.Time
 	startedAt  time.Time
 	canceled   bool
+	withdrawn  chan struct{} // closed when the offer is withdrawn; nil without nested calls
 	queueDelay time.Duration // queue delay of its nested calls
 	overloaded bool          // a nested call was refused for lack of capacity
 }
@@ -354,6 +355,9 @@
 	}
 	delete(n.executions, key)
 	ex.canceled = true
+	if ex.withdrawn != nil {
+		close(ex.withdrawn)
+	}
 	isQueued := ex.startedAt.IsZero()
 	n.runner.Cancel(&ex.ticket)
 	n.recordWithdrawal(now, ex, late)
@@ -368,6 +372,33 @@
 	}
 }
 
+// withdrawnChannel returns a channel that is closed when the offer is withdrawn. The
+// caller must hold Node.mu.
+func (ex *execution) withdrawnChannel() <-chan struct{} {
+	if ex.withdrawn == nil {
+		ex.withdrawn = make(chan struct{})
+	}
+	return ex.withdrawn
+}
+
+// cancelQueued refuses an offer that has been withdrawn by its sender, unless its
+// request has been sent to the server.
+func (n *Node) cancelQueued(now time.Time, key executionKey) {
+	n.mu.Lock()
+	ex := n.executions[key]
+	if ex == nil || !ex.startedAt.IsZero() {
+		n.mu.Unlock()
+		return
+	}
+	delete(n.executions, key)
+	ex.canceled = true
+	n.runner.Cancel(&ex.ticket)
+	n.recordWithdrawal(now, ex, 0)
+	refusal := n.refuseOffer(now, ex, outcome.Canceled)
+	n.mu.Unlock()
+	n.reply(refusal)
+}
+
 // recordWithdrawal counts and logs the withdrawal of an offer.
 func (n *Node) recordWithdrawal(now time.Time, ex *execution, late time.Duration) {
 	n.stats.withdrawn.Inc(1)
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -128,18 +128,20 @@
 	if n.stopping && now.After(n.nestedCallEnd) {
 		return outcome.Draining
 	}
-	if parent := n.parent(req.id); parent != nil {
+	parent, isWithdrawn := n.parent(now, req.id)
+	if isWithdrawn {
+		n.stats.unwantedCalls.Inc(1)
+		return outcome.Canceled
+	}
+	if parent != nil {
 		req.offer.Nested = true
-		req.parent = parent
+		req.parent, req.withdrawn = parent, parent.withdrawnChannel()
 		n.allowance(req.service).Request(now)
 		req.offer.Priority = parent.offer.Priority
 		n.callGraph.Call(parent.offer.Route, req.routeKey)
 		n.calledServices[req.routeKey] = req.service
 		return outcome.None
 	}
-	if n.isWithdrawn(now, req.id) {
-		n.stats.unwantedCalls.Inc(1)
-	}
 	if n.stopping && now.After(n.admissionEnd) {
 		return outcome.Draining
 	}
@@ -172,25 +174,19 @@
 }
 
 // parent returns the execution that sent a nested call, identified by a
-// dot-separated prefix of the request ID, or nil.
-func (n *Node) parent(id string) *execution {
+// dot-separated prefix of the request ID, or nil. It reports whether that execution
+// was withdrawn: the backend server may go on with it, but nobody waits for it.
+func (n *Node) parent(now time.Time, id string) (parent *execution, isWithdrawn bool) {
 	for ancestor := range ancestors(id) {
-		if ex := n.runningByRequest[ancestor]; ex != nil {
-			return ex
+		ex := n.runningByRequest[ancestor]
+		switch {
+		case ex != nil && !ex.canceled:
+			return ex, false
+		case ex != nil, n.withdrawals.Contains(now, ancestor):
+			return nil, true
 		}
 	}
-	return nil
-}
-
-// isWithdrawn reports whether a request is a call of an execution that was
-// withdrawn, but that the local backend server may still run.
-func (n *Node) isWithdrawn(now time.Time, id string) bool {
-	for ancestor := range ancestors(id) {
-		if n.withdrawals.Contains(now, ancestor) {
-			return true
-		}
-	}
-	return false
+	return nil, false
 }
 
 // ancestors yields the possible IDs of the requests that caused a request, the
@@ -225,6 +221,7 @@
 	hedgeDelay := n.hedgeDelay(req)
 	timer := time.NewTimer(req.untilNextCheck(hedgeDelay))
 	defer timer.Stop()
+	withdrawn := req.withdrawn
 	for {
 		select {
 		case result := <-req.results:
@@ -235,6 +232,11 @@
 			}
 		case <-req.client.Disconnected:
 			return n.abandon(req)
+		case <-withdrawn:
+			withdrawn = nil
+			if reply, ok := n.withdrawCall(req); ok {
+				return reply
+			}
 		case <-timer.C:
 			if hedgeDelay == 0 {
 				return n.timeOut(req)
@@ -260,12 +262,25 @@
 	return ingress.Response{Abort: true}
 }
 
+// withdrawCall ends a nested call whose parent execution was withdrawn. A call that
+// must not be repeated and may have started goes on; it returns false then.
+func (n *Node) withdrawCall(req *request) (ingress.Response, bool) {
+	if len(req.openOffers) > 0 && !req.route.Repeatable() {
+		n.withdrawQueued(req)
+		return ingress.Response{}, false
+	}
+	n.stats.unwantedCalls.Inc(1)
+	req.unknownOutcome = req.unknownOutcome || len(req.openOffers) > 0
+	n.cancelOffers(req, false)
+	return n.endUnanswered(req, outcome.Canceled), true
+}
+
 // sendFirstOffer makes the first offer of a request. If no backend server of the
 // service is known, for example just after a start, it waits for one: briefly for
 // a new request, which the client can repeat, and longer for a nested call, whose
 // refusal would waste the work of its parent execution.
 func (n *Node) sendFirstOffer(req *request) outcome.Reason {
-	if req.isDisconnected() {
+	if req.isUnwanted() {
 		return outcome.Canceled
 	}
 	maxWait := min(req.route.Objective()/firstOfferWaitDivisor, time.Until(req.deadline))
@@ -283,6 +298,8 @@
 		select {
 		case <-req.client.Disconnected:
 			return outcome.Canceled
+		case <-req.withdrawn:
+			return outcome.Canceled
 		case <-ticker.C:
 			reason = n.sendOffer(req)
 		}
@@ -317,7 +334,7 @@
 // that server has free capacity and the retry budgets permit another execution.
 // The first offer stays open, since its response may still arrive.
 func (n *Node) hedge(req *request) {
-	if req.client.HasLeft() {
+	if req.client.HasLeft() || req.isUnwanted() {
 		return
 	}
 	now := time.Now()
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -142,7 +142,11 @@
 			n.mu.Lock()
 			late := n.transitDelay(now, l, c.Sent)
 			n.mu.Unlock()
-			n.cancelExecution(now, executionKey{link: l, id: c.ID}, late)
+			if key := (executionKey{link: l, id: c.ID}); c.Queued {
+				n.cancelQueued(now, key)
+			} else {
+				n.cancelExecution(now, key, late)
+			}
 		}
 	case frame.KindEntries:
 		var e frame.Entries
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -18,7 +18,7 @@
 // server: 502 if the request may have run, otherwise 503. A client that has left gets
 // none.
 func (n *Node) endUnanswered(req *request, reason outcome.Reason) ingress.Response {
-	if reason == outcome.Canceled || req.isDisconnected() {
+	if req.isDisconnected() || reason == outcome.Canceled && !req.isUnwanted() {
 		return n.abandon(req)
 	}
 	req.overloaded = req.overloaded || req.capacityRefused
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -37,15 +37,16 @@
 	openOffers      []uint64 // IDs of offers without a result
 	serverAttempts  int      // backend servers that the request may have reached
 	offerCount      int
-	unknownOutcome  bool           // a backend server may have run an earlier attempt
-	parent          *execution     // execution that sent the request, if known
-	window          *window.Window // window that counts the request; nil for nested calls
-	rejection       *windowState   // state of the window that refused the request, if any
-	queueDelay      time.Duration  // time queued at backend servers, including nested calls
-	capacityRefused bool           // a node refused it for lack of capacity
-	overloaded      bool           // it or one of its nested calls failed for lack of capacity
-	delayUnknown    bool           // it ended before its queue delay was known
-	configVersion   uint64         // configuration version that routed the request
+	unknownOutcome  bool            // a backend server may have run an earlier attempt
+	parent          *execution      // execution that sent the request, if known
+	withdrawn       <-chan struct{} // closed when the parent is withdrawn; nil without a parent
+	window          *window.Window  // window that counts the request; nil for nested calls
+	rejection       *windowState    // state of the window that refused the request, if any
+	queueDelay      time.Duration   // time queued at backend servers, including nested calls
+	capacityRefused bool            // a node refused it for lack of capacity
+	overloaded      bool            // it or one of its nested calls failed for lack of capacity
+	delayUnknown    bool            // it ended before its queue delay was known
+	configVersion   uint64          // configuration version that routed the request
 	results         chan offerResult
 }
 
@@ -110,6 +111,17 @@
 	}
 }
 
+// isUnwanted reports whether nobody waits for the request any more: its client is
+// known to have left, or its parent execution was withdrawn.
+func (req *request) isUnwanted() bool {
+	select {
+	case <-req.withdrawn:
+		return true
+	default:
+		return req.isDisconnected()
+	}
+}
+
 // untilNextCheck returns the time until the response is overdue, given a nonzero
 // hedging delay, or until the deadline, whichever is earlier.
 func (req *request) untilNextCheck(hedgeDelay time.Duration) time.Duration {
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -127,6 +127,9 @@
 	_    struct{} `cbor:",toarray"`
 	ID   uint64
 	Sent time.Duration // reading of the sender's clock, with the origin of Offer.Sent
+	// Queued withdraws the offer only if its request has not been sent to the server.
+	// The offer is answered in any case.
+	Queued bool
 }
 
 // Entries disseminates registry entries.
