Send withdrawals even without memory for the queue of their link

What callers saw: a server goes on with a request whose client has left, up to the deadline of the request.

When the frames that wait for a stalled link use up the memory budget, Send refuses any frame, and the node dropped the withdrawal without a trace.

Change: a withdrawal gets its memory in any case. It takes some 20 bytes, and there is at most one for each offer that got memory before.

Evidence: TestWithdrawalIsSentWithoutMemory fails on the code before; with the change three runs with the race detector pass.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -112,7 +112,7 @@
 	if isCopied {
 		data = body.AppendTo(data)
 	}
-	if !l.claimQueue(before, len(data)) {
+	if !l.claimQueue(kind, before, len(data)) {
 		l.mu.Unlock()
 		return false
 	}
@@ -133,8 +133,10 @@
 }
 
 // claimQueue claims memory for pending frames whose size grows from before to
-// after. The caller must hold l.mu.
-func (l *Link) claimQueue(before, after int) bool {
+// after. A withdrawal always gets it: it is small, there is at most one for each
+// offer, and without it the other node would go on with the request. The caller must
+// hold l.mu.
+func (l *Link) claimQueue(kind frame.Kind, before, after int) bool {
 	if after <= maxSpareBuffer {
 		return true
 	}
@@ -142,6 +144,10 @@
 		l.pending.claim = l.budget.Claim(memory.Queue, memory.Fixed, nil)
 		before = 0
 	}
+	if kind == frame.KindCancel {
+		l.pending.claim.Force(after - before)
+		return true
+	}
 	return l.pending.claim.Grow(after-before) == nil
 }
 
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -14,6 +15,7 @@
 
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/payload"
 )
@@ -241,3 +243,54 @@
 	_, down, _, _ := h.counts()
 	require.Zero(t, down)
 }
+
+// Guards against GONE: a withdrawal that is dropped because there is no memory for the
+// frames that wait for a stalled link, so that the other node goes on with a request
+// whose client has left.
+func TestWithdrawalIsSentWithoutMemory(t *testing.T) {
+	b := &handler{}
+	ln := listen(t, "127.0.0.1:0")
+	budget := memory.New(200 << 10)
+	m := peer.NewMesh(&handler{}, peer.WithBudget(budget))
+	defer m.Close()
+	m.Connect(t.Context(), ln.Addr().String())
+	stalled, err := ln.Accept()
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
+	l := m.Link(ln.Addr().String())
+	offer := &frame.Offer{Head: make([]byte, 64)}
+	// The first sender to fill the buffers of the sockets writes until the link is read.
+	sent := make(chan uint64)
+	for range 2 {
+		go func() {
+			for id := uint64(1); ; id++ {
+				if !peer.Send(l, frame.KindOffer, offer, nil) {
+					sent <- id
+					return
+				}
+			}
+		}()
+	}
+	offers := <-sent
+	for id := range offers {
+		require.True(t, peer.Send(l, frame.KindCancel, frame.Cancel{ID: id}, nil))
+	}
+	read := make(chan uint64, 1)
+	go func() {
+		var count uint64
+		for r := bufio.NewReader(stalled); count < offers; {
+			f, err := frame.Read(r, nil)
+			if err != nil {
+				break
+			}
+			b.HandleFrame(nil, f)
+			if f.Kind == frame.KindCancel {
+				count++
+			}
+		}
+		read <- count
+	}()
+	require.Equal(t, offers, <-read)
+	_, _, canceled, _ := b.counts()
+	require.EqualValues(t, offers, canceled)
+}
