Read withdrawals before queued requests are started after a pause

What callers saw: requests reached servers after their clients had left (GONE).

Cause: while a node stands still, its server answers and clients of queued requests leave. When it goes on, the answers free places, and queued requests were started before the withdrawals in the buffers of the links were read.

Change: the queue is checked every 20 ms while requests wait in it. A check that comes more than 200 ms late shows a pause; queued requests are then started 20 ms later at the earliest, when the links have been read.

Not covered: a suspended instance whose steady clock stands still.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -20,8 +20,13 @@
 	"github.com/papayapath/papayapath/pkg/transit"
 )
 
-// expiryInterval is how often queued requests are checked for expiry.
-const expiryInterval = 20 * time.Millisecond
+const (
+	// expiryInterval is how often queued requests are checked for expiry.
+	expiryInterval = 20 * time.Millisecond
+	// maxCheckDelay is the delay of such a check from which the process counts as
+	// paused. Withdrawals that arrived during the pause are unread then.
+	maxCheckDelay = 200 * time.Millisecond
+)
 
 // execution is an offer that is queued for or running on the local backend server.
 type execution struct {
@@ -114,7 +119,7 @@
 		replies = append(replies, n.refuseOffer(now, ex, n.capacityReason()))
 	case runner.Queued:
 		n.executions[ex.key] = ex
-		n.scheduleExpiry()
+		n.scheduleExpiry(now)
 	case runner.Started:
 		n.executions[ex.key] = ex
 		n.recordStart(now, ex)
@@ -227,8 +232,12 @@
 }
 
 // dequeueRunnable removes the queued executions that can run now from the queue
-// and returns them.
+// and returns them. After a pause of the process there are none until the next check
+// of the queue, so that withdrawals which arrived meanwhile are read first.
 func (n *Node) dequeueRunnable(now time.Time) []*execution {
+	if n.isResuming(now) {
+		return nil
+	}
 	var runnable []*execution
 	for {
 		t := n.runner.Next(now)
@@ -240,6 +249,15 @@
 	}
 }
 
+// isResuming reports whether the process was paused since the last check of the queue,
+// or is in the interval that follows such a pause.
+func (n *Node) isResuming(now time.Time) bool {
+	if n.expiryScheduled && now.Sub(n.queueCheckedAt) > expiryInterval+maxCheckDelay {
+		n.queueCheckedAt, n.resumedAt = now, now.Add(expiryInterval)
+	}
+	return now.Before(n.resumedAt)
+}
+
 // isConnectionRefused reports whether the backend server's port has no listener.
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
@@ -435,9 +453,9 @@
 }
 
 // scheduleExpiry schedules an expiry check of the queue if none is scheduled.
-func (n *Node) scheduleExpiry() {
+func (n *Node) scheduleExpiry(now time.Time) {
 	if !n.expiryScheduled {
-		n.expiryScheduled = true
+		n.expiryScheduled, n.queueCheckedAt = true, now
 		time.AfterFunc(expiryInterval, n.expireQueued)
 	}
 }
@@ -447,15 +465,15 @@
 func (n *Node) expireQueued() {
 	now := time.Now()
 	n.mu.Lock()
-	n.expiryScheduled = false
 	var replies []reply
 	for _, t := range n.runner.Expire(now, nil) {
 		delete(n.executions, t.Value.key)
 		replies = append(replies, n.refuseOffer(now, t.Value, outcome.Expired))
 	}
 	runnable := n.dequeueRunnable(now)
+	n.expiryScheduled = false
 	if n.runner.Queued() > 0 {
-		n.scheduleExpiry()
+		n.scheduleExpiry(now)
 	}
 	n.mu.Unlock()
 	n.reply(replies...)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -125,6 +125,8 @@
 	runningByRequest   map[string]*execution             // executions in progress, by request ID
 	withdrawals        *withdrawal.Record                // requests that were withdrawn while they ran here
 	expiryScheduled    bool
+	queueCheckedAt     time.Time // if expiryScheduled, when the queue was last checked
+	resumedAt          time.Time // end of the interval that follows a pause of the process
 	stopping           bool
 	admissionEnd       time.Time // if stopping, time from which new requests are refused
 	nestedCallEnd      time.Time // if stopping, time from which nested calls are refused
