Do not send a request that was withdrawn while its start was prepared

Between the choice of a queued request and its start the lock is released, and a withdrawal that came then closed the connection only after the request had been sent.

Change: the start looks once more whether the offer was withdrawn.

Evidence: by reading; the window is some microseconds, and no test meets it. The tests of withdrawals and retries in platform/ pass.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -165,8 +165,19 @@
 	n.withdrawals.Remove(ex.offer.Request)
 }
 
+// errWithdrawn means that an offer was withdrawn before its request was sent.
+var errWithdrawn = errors.New("sidecar: offer withdrawn")
+
 // startExecution sends a request to the local backend server.
 func (n *Node) startExecution(now time.Time, ex *execution) {
+	n.mu.Lock()
+	isWithdrawn := ex.canceled
+	n.mu.Unlock()
+	if isWithdrawn {
+		// Nested endings could use up the stack.
+		go n.endExecution(ex, &upstream.Answer{NotRun: true, Err: errWithdrawn})
+		return
+	}
 	remaining := ex.ticket.Expires.Sub(now)
 	body := ex.body
 	isCopied := body.Len() <= maxCopiedBody
