See that a caller of the gateway leaves behind a further request

What callers saw: on the product's own interface, a call went on after its caller had closed its connection.

Cause: the socket was looked at by peeking one byte, which finds the byte of a further request in front of the end.

Change: the state of the connection is asked with poll (POLLRDHUP), which needs no data.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -5,7 +5,10 @@
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,7 +23,8 @@
 // calls is a node that hands each exchange to a function.
 type calls struct {
 	serve    func(*gateway.Request, *exchange.Exchange)
-	canceled chan struct{}
+	canceled chan struct{} // closed when a call is canceled
+	once     sync.Once
 }
 
 func (c *calls) Call(r *gateway.Request) (*exchange.Exchange, func()) {
@@ -28,7 +32,7 @@
 	e.Begin(1)
 	go c.serve(r, e)
 	return e, func() {
-		close(c.canceled)
+		c.once.Do(func() { close(c.canceled) })
 		e.Finish(&message.Answer{Outcome: outcome.Unknown, Reason: outcome.Canceled})
 	}
 }
@@ -139,6 +143,31 @@
 	}
 }
 
+// Guards against GONE: work goes on after its caller has closed its connection, because
+// a further request is unread.
+func TestGoneCallerWithUnreadRequestCancels(t *testing.T) {
+	base, c := listen(t, func(*gateway.Request, *exchange.Exchange) {})
+	conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	require.NoError(t, err)
+	_, err = io.WriteString(conn, "GET /drawings/x HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(50 * time.Millisecond)
+	_, err = io.WriteString(conn, "GET /drawings/y HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	time.Sleep(100 * time.Millisecond)
+	select {
+	case <-c.canceled:
+		t.Fatal("the call was canceled, though its caller stays")
+	default:
+	}
+	require.NoError(t, conn.Close())
+	select {
+	case <-c.canceled:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the call was not canceled")
+	}
+}
+
 // Guards against work that goes on after its caller has closed its connection.
 func TestGoneCallerCancels(t *testing.T) {
 	base, c := listen(t, func(*gateway.Request, *exchange.Exchange) {})
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -4,7 +4,6 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -34,8 +33,7 @@
 		return true
 	default:
 	}
-	conn, ok := r.conn.(syscall.Conn)
-	return ok && socket.HasHungUp(conn)
+	return socket.IsClosedByPeer(r.conn)
 }
 
 // Response is the response to a request.
--- a/internal/socket/closed.go
+++ b/internal/socket/closed.go
@@ -3,26 +3,35 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
-// IsClosedByPeer reports whether the peer has closed conn, or only its sending
-// half. It peeks at the socket without consuming data, because fasthttp does not
-// read from a connection while a request is being handled.
+// IsClosedByPeer reports whether the peer has closed conn, or only its sending half,
+// even if bytes that it sent before are unread. It is false for a connection without
+// a descriptor.
 func IsClosedByPeer(conn net.Conn) bool {
-	tcp, ok := conn.(*net.TCPConn)
+	c, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := c.SyscallConn()
 	if err != nil {
 		return true
 	}
-	closed := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = (n == 0 && err == nil) || (err != nil && err != syscall.EAGAIN && err != syscall.EINTR)
-		return true
-	})
-	return closed || err != nil
+	hungUp := false
+	err = raw.Control(func(fd uintptr) { hungUp = IsHungUp(fd) })
+	return hungUp || err != nil
+}
+
+// IsHungUp is like IsClosedByPeer, for a descriptor. It consumes no data.
+func IsHungUp(fd uintptr) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	for {
+		n, err := unix.Poll(p, 0)
+		if err == unix.EINTR {
+			continue
+		}
+		return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	}
 }
