Take only what can be answered before the end of a planned stop

What callers saw (report of other operators): requests that came late in the grace period of a planned stop were taken and passed on, and were cut without an answer at its end, among them requests that must not be repeated (LOST). It happens here.

Cause: calls of the own server were taken until 0.4 s before the exit and offers of other nodes until 0.4 s and eight mean run times before it, however long their route takes; requests of clients for 2.5 s, whatever is left then. What was open at the exit got no answer.

Change: a stopping node takes a request only if its answer is due before the exit, or if the longest of the latest answers of its route, and a quarter, fits into the time that is left; at least 0.4 s. For a client's request that may be repeated, a likely answer has to fit. Otherwise it is refused as not run. An offer that waits in the queue is refused when the node exits. What is open at the exit gets 502, or 503 if no server was reached.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -106,9 +106,13 @@
 		return []reply{n.refuseOffer(now, ex, outcome.Expired)}, false
 	}
 	n.adoptNotice(now, ex.offer.Notice)
-	if reason := n.unavailability(now, &ex.offer); reason != outcome.None {
+	if reason := n.unavailability(now, ex); reason != outcome.None {
 		return []reply{n.refuseOffer(now, ex, reason)}, false
 	}
+	if n.stopping && n.exitDeadline.Before(ex.ticket.Expires) {
+		// A request that is still queued then is refused instead of cut.
+		ex.ticket.Expires = n.exitDeadline
+	}
 	decision, evicted := n.runner.Offer(now, &ex.ticket)
 	if evicted != nil {
 		delete(n.executions, evicted.Value.key)
@@ -142,7 +146,8 @@
 
 // unavailability returns the reason why the local backend server cannot accept an
 // offer, or None.
-func (n *Node) unavailability(now time.Time, o *frame.Offer) outcome.Reason {
+func (n *Node) unavailability(now time.Time, ex *execution) outcome.Reason {
+	o := &ex.offer
 	switch {
 	case o.Service != n.env.Service:
 		return outcome.Unavailable
@@ -150,6 +155,8 @@
 		return outcome.Draining
 	case n.readiness.State() != readiness.Ready:
 		return outcome.Unavailable
+	case !n.answersBeforeExit(now, ex.ticket.Expires, longestAnswer(n.runLatencies[o.Route])):
+		return outcome.Draining
 	case n.quarantine.Check(now, quarantineRequest(o)) == quarantine.Refuse:
 		return outcome.Suspect
 	}
@@ -225,9 +232,12 @@
 	} else {
 		a.Body.Release()
 	}
-	n.stats.execution(now.Sub(ex.ticket.Expires.Add(-ex.offer.Wait)))
+	n.stats.execution(now.Sub(ex.arrivedAt))
 	replies := []reply{completed}
 	delete(n.executions, ex.key)
+	if completed.answer.Outcome == outcome.Complete {
+		recordLatency(n.runLatencies, ex.offer.Route, now.Sub(ex.arrivedAt))
+	}
 	n.recordExecutionEnd(now, ex, a)
 	if isConnectionRefused(a.Err) {
 		n.recordCrash(now)
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -125,15 +125,16 @@
 	if n.quarantine.Check(now, quarantine.Request{Customer: n.env.Service, Content: req.offer.Content}) == quarantine.Refuse {
 		return outcome.Suspect
 	}
-	if n.stopping && now.After(n.nestedCallEnd) {
-		return outcome.Draining
-	}
+	estimator := n.latencies[req.routeKey]
 	parent, isWithdrawn := n.parent(now, req.id)
 	if isWithdrawn {
 		n.stats.unwantedCalls.Inc(1)
 		return outcome.Canceled
 	}
 	if parent != nil {
+		if !n.answersBeforeExit(now, req.deadline, longestAnswer(estimator)) {
+			return outcome.Draining
+		}
 		req.offer.Nested = true
 		req.parent, req.withdrawn = parent, parent.withdrawnChannel()
 		n.allowance(req.service).Request(now)
@@ -142,7 +143,12 @@
 		n.calledServices[req.routeKey] = req.service
 		return outcome.None
 	}
-	if n.stopping && now.After(n.admissionEnd) {
+	need := longestAnswer(estimator)
+	if req.route.Repeatable() {
+		// The client can send it again.
+		need = likelyAnswer(estimator)
+	}
+	if n.stopping && now.After(n.admissionEnd) || !n.answersBeforeExit(now, req.deadline, need) {
 		return outcome.Draining
 	}
 	n.allowance(req.service).Request(now)
@@ -232,6 +238,8 @@
 			}
 		case <-req.client.Disconnected:
 			return n.abandon(req)
+		case <-n.exiting:
+			return n.endAtExit(req)
 		case <-withdrawn:
 			withdrawn = nil
 			if reply, ok := n.withdrawCall(req); ok {
@@ -262,6 +270,13 @@
 	return ingress.Response{Abort: true}
 }
 
+// endAtExit ends a request that is open when the node exits.
+func (n *Node) endAtExit(req *request) ingress.Response {
+	req.unknownOutcome = req.unknownOutcome || len(req.openOffers) > 0
+	req.delayUnknown = true
+	return n.endUnanswered(req, outcome.Draining)
+}
+
 // withdrawCall ends a nested call whose parent execution was withdrawn. A call that
 // must not be repeated and may have started goes on; it returns false then.
 func (n *Node) withdrawCall(req *request) (ingress.Response, bool) {
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -10,6 +10,7 @@
 
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/socket"
+	"github.com/papayapath/papayapath/pkg/latency"
 )
 
 const (
@@ -24,10 +25,14 @@
 	queueDrainTime = 400 * time.Millisecond
 	drainRunTimes  = 8
 	minOfferTime   = 1500 * time.Millisecond
-	// nestedCallCutoff is the time before the exit from which nested calls of
-	// the local backend server are refused, because the process would exit
-	// before their responses arrive.
-	nestedCallCutoff = 400 * time.Millisecond
+	// minAnswerTime is the least time that a stopping node reckons with for an
+	// answer.
+	minAnswerTime = 400 * time.Millisecond
+	// answerSlack is the part by which an answer may take longer than all recent ones.
+	answerSlack = 0.25
+	// lastAnswersTime bounds the time in which the answers to the requests that are
+	// open at the exit are written.
+	lastAnswersTime = 200 * time.Millisecond
 	// offerPropagationTime bounds the time until offers that were sent before
 	// the other nodes learned of the stop have arrived. It is several times the
 	// latency between failure domains.
@@ -147,7 +152,7 @@
 	n.stopping = true
 	n.admissionEnd = start.Add(clientDrainTime)
 	exitDeadline := start.Add(n.env.GracePeriod - exitMargin)
-	n.nestedCallEnd = exitDeadline.Add(-nestedCallCutoff)
+	n.exitDeadline = exitDeadline
 	n.mu.Unlock()
 	n.journal.Write(event.NodeStopping, logrus.Fields{"grace_ms": n.env.GracePeriod.Milliseconds(), "requests": n.clients.ActiveRequests()})
 	n.clients.DisableKeepAlives()
@@ -164,12 +169,48 @@
 			n.announceStopping(now)
 		}
 		if n.offersDrained(now) && executions == 0 && busy == 0 || now.After(exitDeadline) {
+			n.answerOpenRequests()
 			n.clients.CloseIdle()
 			return
 		}
 	}
 }
 
+// answerOpenRequests ends the requests that are open when a stopping node exits, so
+// that none is cut without an answer.
+func (n *Node) answerOpenRequests() {
+	close(n.exiting)
+	for end := time.Now().Add(lastAnswersTime); n.clients.ActiveRequests() > 0 && time.Now().Before(end); {
+		time.Sleep(stopPollInterval)
+	}
+}
+
+// answersBeforeExit reports whether a stopping node can expect to answer a request
+// before it exits: its answer is due by then, or it takes no longer than the given time.
+func (n *Node) answersBeforeExit(now, due time.Time, need time.Duration) bool {
+	if !n.stopping || !due.After(n.exitDeadline) {
+		return true
+	}
+	return !now.Add(max(minAnswerTime, need)).After(n.exitDeadline)
+}
+
+// longestAnswer returns the time that an answer may take, given those of the past. It
+// is 0 if there are none.
+func longestAnswer(e *latency.Estimator) time.Duration {
+	if e == nil {
+		return 0
+	}
+	return time.Duration((1 + answerSlack) * float64(e.Tail()))
+}
+
+// likelyAnswer returns the time that few answers exceed, 0 if it is not known.
+func likelyAnswer(e *latency.Estimator) time.Duration {
+	if e == nil {
+		return 0
+	}
+	return e.OverdueAfter()
+}
+
 // announceStopping announces once that this node accepts no more offers.
 func (n *Node) announceStopping(now time.Time) {
 	n.mu.Lock()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -94,6 +94,8 @@
 	offerCount   atomic.Uint64 // number of offers sent, and ID of the latest
 	rewriteEntry atomic.Bool   // the platform log may have lost the local entry
 
+	exiting chan struct{} // closed when a stopping node exits
+
 	mu                 sync.Mutex
 	rawConfiguration   []byte // encoded configuration in force
 	requestedVersion   uint64 // configuration version last requested from another node
@@ -109,6 +111,7 @@
 	notices            map[string]*frame.Notice // what the servers of nodes said of themselves, by node
 	callGraph          *callgraph.Graph
 	latencies          map[message.Route]*latency.Estimator
+	runLatencies       map[message.Route]*latency.Estimator // of offers to the local backend server
 	windows            map[message.Route]*window.Window
 	roster             *roster.Roster
 	rosterRevision     uint64 // registry revision that the roster reflects
@@ -129,7 +132,7 @@
 	resumedAt          time.Time // end of the interval that follows a pause of the process
 	stopping           bool
 	admissionEnd       time.Time // if stopping, time from which new requests are refused
-	nestedCallEnd      time.Time // if stopping, time from which nested calls are refused
+	exitDeadline       time.Time // if stopping, time of the exit
 	stopAnnouncedAt    time.Time // when the other nodes were told to send no more offers
 	logUnreadable      bool
 	logGeneration      uint64 // highest generation of the platform log heard of
@@ -164,6 +167,8 @@
 		runningByRequest: make(map[string]*execution),
 		withdrawals:      withdrawal.New(maxWithdrawals),
 		entryChanged:     make(chan struct{}, 1),
+		exiting:          make(chan struct{}),
+		runLatencies:     make(map[message.Route]*latency.Estimator),
 	}
 	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
 	n.log.Store(&log)
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -186,7 +186,7 @@
 	p.request.overloaded = p.request.overloaded || a.CallRefused
 	p.request.capacityRefused = p.request.capacityRefused || a.Outcome == outcome.NotRun && !a.Sent && isCapacityReason(a.Reason)
 	if a.Outcome == outcome.Complete {
-		n.recordLatency(p.request.routeKey, now.Sub(p.sentAt))
+		recordLatency(n.latencies, p.request.routeKey, now.Sub(p.sentAt))
 	}
 	if a.HasFanout {
 		n.fanouts[p.request.routeKey] = a.Fanout
@@ -196,15 +196,15 @@
 	p.request.results <- offerResult{answer: *a, body: body}
 }
 
-// recordLatency records the latency of a complete answer.
-func (n *Node) recordLatency(key message.Route, d time.Duration) {
-	estimator := n.latencies[key]
+// recordLatency records a latency of a route.
+func recordLatency(estimators map[message.Route]*latency.Estimator, key message.Route, d time.Duration) {
+	estimator := estimators[key]
 	if estimator == nil {
-		if len(n.latencies) >= maxTrackedRoutes {
-			clear(n.latencies)
+		if len(estimators) >= maxTrackedRoutes {
+			clear(estimators)
 		}
 		estimator = &latency.Estimator{}
-		n.latencies[key] = estimator
+		estimators[key] = estimator
 	}
 	estimator.Add(d)
 }
--- a/pkg/latency/estimator.go
+++ b/pkg/latency/estimator.go
@@ -12,6 +12,9 @@
 	overdueDeviations = 4
 	// minSamples is the number of answers from which the estimate is used.
 	minSamples = 8
+	// longestInterval is the number of answers after which the longest latency is
+	// sought anew.
+	longestInterval = 128
 )
 
 // Estimator estimates the latency of a route. The zero value has no samples.
@@ -21,6 +24,9 @@
 	mean      float64 // ns
 	deviation float64 // ns
 	count     int     // number of samples, up to minSamples
+
+	longest, previous time.Duration // in the current and in the last interval
+	interval          int           // number of samples of the current interval
 }
 
 // Add adds the latency of one answer.
@@ -36,6 +42,11 @@
 	if offset < 0 {
 		offset = -offset
 	}
+	if e.interval == longestInterval {
+		e.previous, e.longest, e.interval = e.longest, 0, 0
+	}
+	e.longest = max(e.longest, d)
+	e.interval++
 	e.deviation += deviationWeight * (offset - e.deviation)
 	e.mean += meanWeight * (sample - e.mean)
 }
@@ -56,3 +67,9 @@
 	}
 	return time.Duration(e.mean + overdueDeviations*e.deviation)
 }
+
+// Tail returns a time that the latency seldom exceeds: the longest of the latest 128
+// answers or more, or OverdueAfter if that is longer. It is 0 without samples.
+func (e *Estimator) Tail() time.Duration {
+	return max(e.longest, e.previous, e.OverdueAfter())
+}
--- a/pkg/latency/estimator_test.go
+++ b/pkg/latency/estimator_test.go
@@ -25,3 +25,24 @@
 	require.Greater(t, e.OverdueAfter(), 119*time.Millisecond)
 	require.Less(t, e.OverdueAfter(), 250*time.Millisecond)
 }
+
+// Guards against a stopping node that takes a request although some answers took longer
+// than is left: the longest of the latest answers counts, not only mean and deviation.
+func TestTail(t *testing.T) {
+	var e latency.Estimator
+	require.Zero(t, e.Tail())
+	e.Add(time.Second)
+	require.Equal(t, time.Second, e.Tail())
+	for range 200 {
+		e.Add(10 * time.Millisecond)
+		require.Equal(t, time.Second, e.Tail())
+		if e.OverdueAfter() < 20*time.Millisecond {
+			break
+		}
+	}
+	for range 256 {
+		e.Add(10 * time.Millisecond)
+	}
+	require.Less(t, e.Tail(), 20*time.Millisecond)
+	require.GreaterOrEqual(t, e.Tail(), 10*time.Millisecond)
+}
