Do not retry a failed run whose client has left

Cause: found while the change was read again. A whole answer with status 500 went on to the retry without a look at the client.

Change: no result leads to a further offer once nobody waits for the request. Holding an offer and asking for its confirmation read as one decision now.

Evidence: by reading; the tests of withdrawals, retries and outcomes in platform/ pass.

--- a/internal/sidecar/confirmation.go
+++ b/internal/sidecar/confirmation.go
@@ -32,20 +32,20 @@
 
 // holdOffer holds an offer of a link until its sender has confirmed it. It reports
 // whether the sender has to be asked. The caller must hold n.mu.
-func (n *Node) holdOffer(now time.Time, ex *execution) (ask bool) {
+func (n *Node) holdOffer(now time.Time, ex *execution) (mustAsk bool) {
 	n.executions[ex.key] = ex
 	c := n.confirmations[ex.key.link]
 	if c == nil {
 		c = &confirmation{askedAt: now}
 		n.confirmations[ex.key.link] = c
-		ask = true
+		mustAsk = true
 	}
 	c.held = append(c.held, ex)
-	return ask
+	return mustAsk
 }
 
-// ask asks another node for a pong.
-func ask(l *peer.Link) {
+// requestPong asks another node for a pong.
+func requestPong(l *peer.Link) {
 	if !peer.Send(l, frame.KindPing, frame.Ping{}, nil) {
 		l.Close()
 	}
@@ -63,7 +63,7 @@
 	if now.Sub(c.askedAt) > maxUnconfirmedDelay {
 		c.askedAt = now
 		n.mu.Unlock()
-		ask(l)
+		requestPong(l)
 		return
 	}
 	delete(n.confirmations, l)
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -75,24 +75,22 @@
 	if delay > maxUnconfirmedDelay {
 		n.stats.delayed.Inc(1)
 	}
-	mustConfirm := isFirst || delay > maxUnconfirmedDelay || n.confirmations[from] != nil
-	if mustConfirm && ex.offer.Wait > 0 && n.canHold(from) {
-		mustAsk := n.holdOffer(now, ex)
-		n.mu.Unlock()
-		if mustAsk {
-			ask(from)
-		}
-		return
-	}
 	var replies []reply
-	isStarted := false
-	if mustConfirm && ex.offer.Wait > 0 {
-		replies = []reply{n.refuseOffer(now, ex, outcome.Overload)}
-	} else {
+	var mustAsk, isStarted bool
+	mustConfirm := isFirst || delay > maxUnconfirmedDelay || n.confirmations[from] != nil
+	switch {
+	case !mustConfirm || ex.offer.Wait <= 0:
 		replies, isStarted = n.placeOffer(now, ex)
+	case n.canHold(from):
+		mustAsk = n.holdOffer(now, ex)
+	default:
+		replies = []reply{n.refuseOffer(now, ex, outcome.Overload)}
 	}
 	n.mu.Unlock()
 	n.reply(replies...)
+	if mustAsk {
+		requestPong(from)
+	}
 	if isStarted {
 		n.startExecution(now, ex)
 	}
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -227,11 +227,11 @@
 		return ingress.Response{}, false
 	case a.Reason == outcome.Suspect:
 		return n.endUnanswered(req, a.Reason), true
-	case !failed && (req.isUnwanted() || req.client.HasLeft()):
-		return n.endUnanswered(req, outcome.Canceled), true
 	}
 	reason := a.Reason
-	if a.Outcome == outcome.NotRun && !a.Sent || n.mayRetry(req, a) {
+	if req.isUnwanted() || req.client.HasLeft() {
+		reason = outcome.Canceled
+	} else if a.Outcome == outcome.NotRun && !a.Sent || n.mayRetry(req, a) {
 		reason = n.sendOffer(req)
 		if reason == outcome.None {
 			r.body.Release()
