--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -20,14 +20,6 @@
 	"github.com/papayapath/papayapath/pkg/transit"
 )
 
-const (
-	// expiryInterval is how often queued requests are checked for expiry.
-	expiryInterval = 20 * time.Millisecond
-	// maxCheckDelay is the delay of such a check from which the process counts as
-	// paused. Withdrawals that arrived during the pause are unread then.
-	maxCheckDelay = 200 * time.Millisecond
-)
-
 // execution is an offer that is queued for or running on the local backend server.
 type execution struct {
 	key        executionKey
@@ -250,33 +242,6 @@
 	}
 }
 
-// dequeueRunnable removes the queued executions that can run now from the queue
-// and returns them. After a pause of the process there are none until the next check
-// of the queue, so that withdrawals which arrived meanwhile are read first.
-func (n *Node) dequeueRunnable(now time.Time) []*execution {
-	if n.isResuming(now) {
-		return nil
-	}
-	var runnable []*execution
-	for {
-		t := n.runner.Next(now)
-		if t == nil {
-			return runnable
-		}
-		n.recordStart(now, t.Value)
-		runnable = append(runnable, t.Value)
-	}
-}
-
-// isResuming reports whether the process was paused since the last check of the queue,
-// or is in the interval that follows such a pause.
-func (n *Node) isResuming(now time.Time) bool {
-	if n.expiryScheduled && now.Sub(n.queueCheckedAt) > expiryInterval+maxCheckDelay {
-		n.queueCheckedAt, n.resumedAt = now, now.Add(expiryInterval)
-	}
-	return now.Before(n.resumedAt)
-}
-
 // isConnectionRefused reports whether the backend server's port has no listener.
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
@@ -380,123 +345,3 @@
 		r.body.Release()
 	}
 }
-
-// cancelExecution cancels an execution whose offer was withdrawn by its sender. The
-// withdrawal was delayed on its link by late.
-func (n *Node) cancelExecution(now time.Time, key executionKey, late time.Duration) {
-	n.mu.Lock()
-	ex := n.executions[key]
-	if ex == nil {
-		n.mu.Unlock()
-		return
-	}
-	delete(n.executions, key)
-	ex.canceled = true
-	if ex.withdrawn != nil {
-		close(ex.withdrawn)
-	}
-	isQueued := ex.startedAt.IsZero()
-	n.runner.Cancel(&ex.ticket)
-	n.recordWithdrawal(now, ex, late)
-	e := ex.exchange
-	n.mu.Unlock()
-	if isQueued {
-		// No reply follows.
-		ex.body.Release()
-	}
-	if e != nil {
-		e.Cancel()
-	}
-}
-
-// withdrawnChannel returns a channel that is closed when the offer is withdrawn. The
-// caller must hold Node.mu.
-func (ex *execution) withdrawnChannel() <-chan struct{} {
-	if ex.withdrawn == nil {
-		ex.withdrawn = make(chan struct{})
-	}
-	return ex.withdrawn
-}
-
-// cancelQueued refuses an offer that has been withdrawn by its sender, unless its
-// request has been sent to the server.
-func (n *Node) cancelQueued(now time.Time, key executionKey) {
-	n.mu.Lock()
-	ex := n.executions[key]
-	if ex == nil || !ex.startedAt.IsZero() {
-		n.mu.Unlock()
-		return
-	}
-	delete(n.executions, key)
-	ex.canceled = true
-	n.runner.Cancel(&ex.ticket)
-	n.recordWithdrawal(now, ex, 0)
-	refusal := n.refuseOffer(now, ex, outcome.Canceled)
-	n.mu.Unlock()
-	n.reply(refusal)
-}
-
-// recordWithdrawal counts and logs the withdrawal of an offer.
-func (n *Node) recordWithdrawal(now time.Time, ex *execution, late time.Duration) {
-	n.stats.withdrawn.Inc(1)
-	state := "queued"
-	if !ex.startedAt.IsZero() {
-		state = "running"
-		n.stats.withdrawnRuns.Inc(1)
-		n.withdrawals.Add(now, ex.offer.Request, ex.ticket.Expires)
-		if ex.startedAt.After(now.Add(-late)) {
-			n.stats.unwantedRuns.Inc(1)
-		}
-	}
-	n.journal.WriteSampled(now, event.OfferWithdrawn, func() logrus.Fields {
-		return logrus.Fields{
-			"request": ex.offer.Request, "state": state, "inner": ex.offer.Nested,
-			"age_ms": now.Sub(ex.arrivedAt).Milliseconds(), "late_ms": late.Milliseconds(),
-		}
-	})
-}
-
-// cancelLinkExecutions cancels all executions offered over a closed link.
-func (n *Node) cancelLinkExecutions(now time.Time, l *peer.Link) {
-	n.mu.Lock()
-	var keys []executionKey
-	for k := range n.executions {
-		if k.link == l {
-			keys = append(keys, k)
-		}
-	}
-	n.mu.Unlock()
-	for _, k := range keys {
-		n.cancelExecution(now, k, 0)
-	}
-}
-
-// scheduleExpiry schedules an expiry check of the queue if none is scheduled.
-func (n *Node) scheduleExpiry(now time.Time) {
-	if !n.expiryScheduled {
-		n.expiryScheduled, n.queueCheckedAt = true, now
-		time.AfterFunc(expiryInterval, n.expireQueued)
-	}
-}
-
-// expireQueued refuses the queued requests that cannot finish before their
-// deadline, and starts those for which the server has become free.
-func (n *Node) expireQueued() {
-	now := time.Now()
-	n.mu.Lock()
-	var replies []reply
-	for _, t := range n.runner.Expire(now, nil) {
-		delete(n.executions, t.Value.key)
-		replies = append(replies, n.refuseOffer(now, t.Value, outcome.Expired))
-	}
-	runnable := n.dequeueRunnable(now)
-	n.expiryScheduled = false
-	if n.runner.Queued() > 0 {
-		n.scheduleExpiry(now)
-	}
-	n.mu.Unlock()
-	n.reply(replies...)
-	for _, queued := range runnable {
-		n.startExecution(now, queued)
-	}
-}
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -256,20 +256,6 @@
 	}
 }
 
-// abandon ends a request whose client has left.
-func (n *Node) abandon(req *request) ingress.Response {
-	open := len(req.openOffers)
-	n.cancelOffers(req, false)
-	req.delayUnknown = true
-	n.stats.abandoned.Inc(1)
-	n.journal.WriteSampled(time.Now(), event.ClientDisconnected, func() logrus.Fields {
-		f := req.logFields()
-		f["open"] = open
-		return f
-	})
-	return ingress.Response{Abort: true}
-}
-
 // endAtExit ends a request that is open when the node exits.
 func (n *Node) endAtExit(req *request) ingress.Response {
 	req.unknownOutcome = req.unknownOutcome || len(req.openOffers) > 0
@@ -277,19 +263,6 @@
 	return n.endUnanswered(req, outcome.Draining)
 }
 
-// withdrawCall ends a nested call whose parent execution was withdrawn. A call that
-// must not be repeated and may have started goes on; it returns false then.
-func (n *Node) withdrawCall(req *request) (ingress.Response, bool) {
-	if len(req.openOffers) > 0 && !req.route.Repeatable() {
-		n.withdrawQueued(req)
-		return ingress.Response{}, false
-	}
-	n.stats.unwantedCalls.Inc(1)
-	req.unknownOutcome = req.unknownOutcome || len(req.openOffers) > 0
-	n.cancelOffers(req, false)
-	return n.endUnanswered(req, outcome.Canceled), true
-}
-
 // sendFirstOffer makes the first offer of a request. If no backend server of the
 // service is known, for example just after a start, it waits for one: briefly for
 // a new request, which the client can repeat, and longer for a nested call, whose
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -149,24 +149,6 @@
 	}
 }
 
-// withdrawQueued withdraws the open offers of a request that have not started. Their
-// answers tell which.
-func (n *Node) withdrawQueued(req *request) {
-	now := time.Now()
-	for _, id := range req.openOffers {
-		n.mu.Lock()
-		p := n.pending[id]
-		n.mu.Unlock()
-		switch {
-		case p == nil:
-		case p.link == nil:
-			n.cancelQueued(now, executionKey{id: id})
-		default:
-			peer.Send(p.link, frame.KindCancel, frame.Cancel{ID: id, Sent: now.Sub(n.started), Queued: true}, nil)
-		}
-	}
-}
-
 // handleAnswer updates the load and latency records from the answer to an offer
 // and passes the answer to the request.
 func (n *Node) handleAnswer(now time.Time, from *peer.Link, a *frame.Answer, body *payload.Body) {
