Leave while the request is handled in a test of the watch

The test was wrong: it left 5 ms after its last request, and a request whose client has left before it is read behind another one is not handled at all, so it is not counted.

--- a/internal/ingress/departure_test.go
+++ b/internal/ingress/departure_test.go
@@ -51,17 +51,18 @@
 
 // slowHandler handles /slow for a while, and counts departures.
 type slowHandler struct {
-	limits   routing.Limits
-	delay    time.Duration
-	slow     atomic.Int64 // requests for /slow
-	left     atomic.Int64 // of these, clients that left before the answer
-	leftAt   atomic.Int64 // of these, clients that had left before the request was handled
-	answered atomic.Int64
+	limits routing.Limits
+	delay  time.Duration
+	slow   atomic.Int64 // requests for /slow
+	left   atomic.Int64 // of these, clients that left before the answer
+	leftAt atomic.Int64 // of these, clients that had left before the request was handled
+	begun  sync.Map     // IDs of requests for /slow
 }
 
 func (h *slowHandler) Handle(r *ingress.Request) ingress.Response {
 	if string(r.Header.RequestURI()) == "/slow" {
 		h.slow.Add(1)
+		h.begun.Store(string(r.Header.Peek("Id")), true)
 		select {
 		case <-r.Disconnected:
 			h.leftAt.Add(1)
@@ -74,7 +75,6 @@
 		case <-time.After(h.delay):
 		}
 	}
-	h.answered.Add(1)
 	return ingress.Response{Status: fasthttp.StatusOK}
 }
 
@@ -194,10 +194,10 @@
 	go ingress.New(h).Serve(ln) //nolint:errcheck // returns when the listener is closed
 	var wg sync.WaitGroup
 	var failed atomic.Value
-	for range clients {
+	for i := range clients {
 		wg.Go(func() {
-			for range rounds {
-				if err := leaveAfterBurst(ln.Addr().String()); err != nil {
+			for k := range rounds {
+				if err := h.leaveAfterBurst(ln.Addr().String(), fmt.Sprintf("%d-%d", i, k)); err != nil {
 					failed.Store(err)
 					return
 				}
@@ -210,8 +210,8 @@
 }
 
 // leaveAfterBurst sends requests, each as soon as the one before is answered, the
-// last one for /slow, and leaves.
-func leaveAfterBurst(address string) error {
+// last one for /slow, and leaves while that is handled.
+func (h *slowHandler) leaveAfterBurst(address, id string) error {
 	const burst = 3
 	conn, err := net.Dial("tcp4", address)
 	if err != nil {
@@ -230,7 +230,13 @@
 			return fmt.Errorf("answer %d: %w", i, err)
 		}
 	}
-	_, err = io.WriteString(conn, "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n")
-	time.Sleep(5 * time.Millisecond)
-	return err
+	if _, err := fmt.Fprintf(conn, "GET /slow HTTP/1.1\r\nHost: a\r\nId: %s\r\n\r\n", id); err != nil {
+		return err
+	}
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		if _, ok := h.begun.Load(id); ok {
+			return nil
+		}
+	}
+	return fmt.Errorf("request %s is not handled", id)
 }
