Log who ended a request at which a server may be at work

Cause: the logs could not tell the hypotheses on LOST apart. Event 652 had the reason of the last refusal only, and the node beside the server did not log what it cut at its exit. Change: 652 and 653 say where the request ran, for how long, who ended it (answer, link, exit, withdrawal, deadline), whether the other node had announced its stop, and how long this one has been stopping. Event 660 and the metric runs_cut tell of runs that are cut at the exit; 657 has the age of the run, 659 the time since the signal. No decision changes.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -65,4 +65,5 @@
 	BackendRequestFailed  = register(657, logrus.WarnLevel, "run failed")
 	MemoryExhausted       = register(658, logrus.WarnLevel, "memory budget exhausted")
 	OfferWithdrawn        = register(659, logrus.InfoLevel, "offer withdrawn")
+	RunCut                = register(660, logrus.WarnLevel, "run cut at the exit")
 )
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -261,7 +261,7 @@
 	if out.Outcome != outcome.Complete && !ex.canceled {
 		n.journal.WriteSampled(now, event.BackendRequestFailed, func() logrus.Fields {
 			f := logrus.Fields{
-				"request": ex.offer.Request, "outcome": out.Outcome.String(), "status": a.Status, "sent": a.Sent,
+				"request": ex.offer.Request, "age_ms": now.Sub(ex.arrivedAt).Milliseconds(), "outcome": out.Outcome.String(), "status": a.Status, "sent": a.Sent,
 				"running": n.runner.Running(), "queued": n.runner.Queued(),
 			}
 			if a.Err != nil {
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -258,7 +258,7 @@
 
 // endAtExit ends a request that is open when the node exits.
 func (n *Node) endAtExit(req *request) ingress.Response {
-	req.unknownOutcome = req.unknownOutcome || len(req.openOffers) > 0
+	n.recordOpenRun(req, "exit")
 	req.delayUnknown = true
 	return n.endUnanswered(req, outcome.Draining)
 }
@@ -348,9 +348,10 @@
 
 // timeOut ends a request that has reached its deadline.
 func (n *Node) timeOut(req *request) ingress.Response {
+	n.recordOpenRun(req, "deadline")
 	n.cancelOffers(req, true)
 	req.delayUnknown = true
 	n.stats.expired.Inc(1)
-	n.journal.WriteSampled(time.Now(), event.RequestTimedOut, func() logrus.Fields { return req.logFields() })
+	n.journal.WriteSampled(time.Now(), event.RequestTimedOut, func() logrus.Fields { return n.unansweredFields(req) })
 	return ingress.Response{Status: fasthttp.StatusGatewayTimeout, Head: n.codec.AppendRequestID(nil, req.id)}
 }
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -149,7 +149,7 @@
 func (n *Node) drain() {
 	start := time.Now()
 	n.mu.Lock()
-	n.stopping = true
+	n.stopping, n.stoppedAt = true, start
 	n.admissionEnd = start.Add(clientDrainTime)
 	exitDeadline := start.Add(n.env.GracePeriod - exitMargin)
 	n.exitDeadline = exitDeadline
@@ -169,6 +169,7 @@
 			n.announceStopping(now)
 		}
 		if n.offersDrained(now) && executions == 0 && busy == 0 || now.After(exitDeadline) {
+			n.logCutRuns(now)
 			n.answerOpenRequests()
 			n.clients.CloseIdle()
 			return
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -42,6 +42,7 @@
 	withdrawnRuns  metrics.Counter // those among them that had been sent to the server
 	unwantedRuns   metrics.Counter // those among them that were sent after they had been withdrawn
 	unwantedCalls  metrics.Counter // calls of the server for requests that had been withdrawn
+	cutRuns        metrics.Counter // runs that were cut when the node exited
 	logFailures    metrics.Counter
 	sends          metrics.Counter   // requests sent to the local backend server
 	latency        metrics.Histogram // of complete responses, in microseconds
@@ -70,6 +71,7 @@
 		withdrawnRuns:  counter("offers_withdrawn_running"),
 		unwantedRuns:   counter("server_requests_unwanted"),
 		unwantedCalls:  counter("calls_unwanted"),
+		cutRuns:        counter("runs_cut"),
 		logFailures:    counter("log_failures"),
 		sends:          counter("server_requests"),
 		latency:        histogram("latency_us"),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -131,6 +131,7 @@
 	queueCheckedAt     time.Time // if expiryScheduled, when the queue was last checked
 	resumedAt          time.Time // end of the interval that follows a pause of the process
 	stopping           bool
+	stoppedAt          time.Time // if stopping, time of the signal
 	admissionEnd       time.Time // if stopping, time from which new requests are refused
 	exitDeadline       time.Time // if stopping, time of the exit
 	stopAnnouncedAt    time.Time // when the other nodes were told to send no more offers
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -31,8 +31,9 @@
 
 // offerResult is the answer to an offer, with the response body.
 type offerResult struct {
-	answer frame.Answer
-	body   *payload.Body
+	answer  frame.Answer
+	body    *payload.Body
+	pending *pending // what it answers
 }
 
 // pending is an offer that has not been answered.
@@ -175,7 +176,7 @@
 		n.callsTraced = n.callsTraced || len(a.Fanout) > 0
 	}
 	n.mu.Unlock()
-	p.request.results <- offerResult{answer: *a, body: body}
+	p.request.results <- offerResult{answer: *a, body: body, pending: p}
 }
 
 // recordLatency records a latency of a route.
@@ -198,7 +199,12 @@
 	if a.Sent {
 		req.serverAttempts++
 	}
-	req.unknownOutcome = req.unknownOutcome || a.Sent && a.Outcome == outcome.Unknown
+	if a.Sent && a.Outcome == outcome.Unknown {
+		req.unknownOutcome, req.lastRun = true, n.runOf(time.Now(), r.pending, "answer")
+		if a.Reason == outcome.Broken && r.pending.link != nil && n.mesh.Link(r.pending.node) != r.pending.link {
+			req.lastRun.decider = "link"
+		}
+	}
 	failed := a.Outcome == outcome.Complete && a.Status == fasthttp.StatusInternalServerError
 	switch {
 	case a.Outcome == outcome.Complete && !failed:
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -27,7 +27,7 @@
 	}
 	n.stats.unknownOutcome.Inc(1)
 	n.journal.WriteSampled(time.Now(), event.RequestOutcomeUnknown, func() logrus.Fields {
-		f := req.logFields()
+		f := n.unansweredFields(req)
 		f["reason"] = reason.String()
 		return f
 	})
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -48,6 +48,15 @@
 	delayUnknown    bool            // it ended before its queue delay was known
 	configVersion   uint64          // configuration version that routed the request
 	results         chan offerResult
+	lastRun         run // of the latest offer that ended without the answer of a server
+}
+
+// run is an offer at which a backend server may have been at work when it ended.
+type run struct {
+	node     string        // node beside the server
+	age      time.Duration // since the offer was sent
+	decider  string        // what ended it
+	stopping bool          // the node had announced that it stops
 }
 
 // windowState is the state of a window for the log.
--- a/internal/sidecar/withdrawal.go
+++ b/internal/sidecar/withdrawal.go
@@ -34,7 +34,7 @@
 		return ingress.Response{}, false
 	}
 	n.stats.unwantedCalls.Inc(1)
-	req.unknownOutcome = req.unknownOutcome || len(req.openOffers) > 0
+	n.recordOpenRun(req, "withdrawal")
 	n.cancelOffers(req, false)
 	return n.endUnanswered(req, outcome.Canceled), true
 }
@@ -128,6 +128,7 @@
 		return logrus.Fields{
 			"request": ex.offer.Request, "state": state, "inner": ex.offer.Nested,
 			"age_ms": now.Sub(ex.arrivedAt).Milliseconds(), "late_ms": late.Milliseconds(),
+			"stopping_ms": n.stoppingTime(now).Milliseconds(),
 		}
 	})
 }
