Let a call that runs wait for its caller after its run was withdrawn

Requests here are also the calls that servers make.

Cause: since a call is answered with 502 at the moment at which the run that made it is withdrawn: its client left, its deadline passed, another offer won. The server that called still waits then; it closes its connection some milliseconds later. On a stopping node that is LOST.

Change: on a withdrawal, what is queued is withdrawn at once, as before for calls that must not be repeated. A call that runs waits up to 200 ms for its caller to close the connection, which ends it without an answer. If the caller stays, the call is ended as before, unless the node is stopping: then it goes on until its answer, its deadline or the exit.

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -228,6 +228,7 @@
 	timer := time.NewTimer(req.untilNextCheck(hedgeDelay))
 	defer timer.Stop()
 	withdrawn := req.withdrawn
+	var callerStayed <-chan time.Time
 	for {
 		select {
 		case result := <-req.results:
@@ -242,6 +243,9 @@
 			return n.endAtExit(req)
 		case <-withdrawn:
 			withdrawn = nil
+			n.withdrawQueued(req)
+			callerStayed = time.After(callerCloseTime)
+		case <-callerStayed:
 			if reply, ok := n.withdrawCall(req); ok {
 				return reply
 			}
--- a/internal/sidecar/withdrawal.go
+++ b/internal/sidecar/withdrawal.go
@@ -26,11 +26,20 @@
 	return ingress.Response{Abort: true}
 }
 
-// withdrawCall ends a nested call whose parent execution was withdrawn. A call that
-// must not be repeated and may have started goes on; it returns false then.
+// callerCloseTime is how long a call that runs waits for its caller to close the
+// connection after the run that made the call was withdrawn. Most servers drop such a
+// run, and with it the call. Two calls below each other wait for it in turn.
+const callerCloseTime = 200 * time.Millisecond
+
+// withdrawCall ends a nested call whose parent execution was withdrawn, and whose
+// caller has not closed its connection since. It returns false if the call goes on: it
+// may be running, and must not be repeated, or this node is stopping. A caller that
+// stays can then rely on the answer of a server that is at work.
 func (n *Node) withdrawCall(req *request) (ingress.Response, bool) {
-	if len(req.openOffers) > 0 && !req.route.Repeatable() {
-		n.withdrawQueued(req)
+	n.mu.Lock()
+	stopping := n.stopping
+	n.mu.Unlock()
+	if len(req.openOffers) > 0 && (stopping || !req.route.Repeatable()) {
 		return ingress.Response{}, false
 	}
 	n.stats.unwantedCalls.Inc(1)
