Write the last answers before a stopping node exits

What callers saw: a request that had run in a planned stop could end with 502 (LOST), found by reading.

Cause: an execution is removed before its answer is sent, and the exit waited only until there was none: nothing waited for answers that were being passed on or queued behind a large one on a link. An offer that arrived between the decision to exit and the end of the process was still taken.

Change: the decision to exit is made once, under the lock, and ends all taking; it waits for answers that are being passed on. The mesh is shut down: queued frames are written, links are half closed, and the other nodes close them when they have read everything. Closing at once with unread bytes resets a link.

The window between decision and end has no test of its own.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -216,6 +216,22 @@
 	return err
 }
 
+// isWriting reports whether frames wait to be written.
+func (l *Link) isWriting() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.flushing && !l.closed
+}
+
+// closeWrite ends the link towards the other node, which closes it once it has read all
+// that was written. Closing with unread bytes would reset the connection before.
+func (l *Link) closeWrite() {
+	c, ok := l.conn.(interface{ CloseWrite() error })
+	if !ok || c.CloseWrite() != nil {
+		l.Close()
+	}
+}
+
 // Close closes the connection.
 func (l *Link) Close() {
 	l.mu.Lock()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -209,9 +210,48 @@
 	m.handler.LinkDown(l, err)
 }
 
+// Shutdown stops reconnecting and ends all links so that no frame is lost: it waits until
+// they have been written, and until the other nodes have closed their ends. The frames
+// may be written until end, and for linger at least; the wait for the other nodes takes
+// linger at most.
+func (m *Mesh) Shutdown(end time.Time, linger time.Duration) {
+	links := m.stop()
+	if least := time.Now().Add(linger); end.Before(least) {
+		end = least
+	}
+	for time.Now().Before(end) && slices.ContainsFunc(links, (*Link).isWriting) {
+		time.Sleep(shutdownPollInterval)
+	}
+	for _, l := range links {
+		l.closeWrite()
+	}
+	for end := time.Now().Add(linger); time.Now().Before(end) && m.hasLinks(); {
+		time.Sleep(shutdownPollInterval)
+	}
+}
+
+// shutdownPollInterval is how often Shutdown looks whether the links have ended.
+const shutdownPollInterval = 2 * time.Millisecond
+
+// hasLinks reports whether there are open links.
+func (m *Mesh) hasLinks() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.outbound)+len(m.inbound) > 0
+}
+
 // Close closes all links and stops reconnecting.
 func (m *Mesh) Close() {
+	for _, l := range m.stop() {
+		l.Close()
+	}
+}
+
+// stop stops reconnecting and returns the open links. Links that are accepted later are
+// closed.
+func (m *Mesh) stop() []*Link {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.closed = true
 	all := make([]*Link, 0, len(m.outbound)+len(m.inbound))
 	for address, cancel := range m.targets {
@@ -224,10 +264,7 @@
 	for l := range m.inbound {
 		all = append(all, l)
 	}
-	m.mu.Unlock()
-	for _, l := range all {
-		l.Close()
-	}
+	return all
 }
 
 // MonitorLinks closes unresponsive links until ctx is done.
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -294,3 +294,30 @@
 	_, _, canceled, _ := b.counts()
 	require.EqualValues(t, offers, canceled)
 }
+
+// Guards against LOST: answers that wait behind a large one when a node exits are lost
+// with the link.
+func TestShutdownWritesWhatIsQueued(t *testing.T) {
+	const frames, size = 20, 64 << 20
+	received := &handler{}
+	ln := listen(t, "127.0.0.1:0")
+	server := peer.NewMesh(received)
+	defer server.Close()
+	go server.Accept(ln) //nolint:errcheck // returns when the listener is closed
+	m := peer.NewMesh(&handler{})
+	m.Connect(t.Context(), ln.Addr().String())
+	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
+	l := m.Link(ln.Addr().String())
+	body := payload.NewBody(bytes.Repeat([]byte("x"), size), nil)
+	go peer.Send(l, frame.KindConfiguration, frame.Configuration{}, body)
+	time.Sleep(5 * time.Millisecond)
+	for i := range uint64(frames) {
+		require.True(t, peer.Send(l, frame.KindCancel, frame.Cancel{ID: i}, nil))
+	}
+	start := time.Now()
+	m.Shutdown(start.Add(timeout), time.Second)
+	m.Close()
+	require.Less(t, time.Since(start), timeout)
+	_, _, count, _ := received.counts()
+	require.Equal(t, frames, count)
+}
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -145,7 +145,7 @@
 		return outcome.Draining
 	case n.readiness.State() != readiness.Ready:
 		return outcome.Unavailable
-	case !n.answersBeforeExit(now, ex.ticket.Expires, longestAnswer(n.runLatencies[o.Route])):
+	case n.exitDecided, !n.answersBeforeExit(now, ex.ticket.Expires, longestAnswer(n.runLatencies[o.Route])):
 		return outcome.Draining
 	case n.quarantine.Check(now, quarantineRequest(o)) == quarantine.Refuse:
 		return outcome.Suspect
@@ -225,6 +225,7 @@
 	n.stats.execution(now.Sub(ex.arrivedAt))
 	replies := []reply{completed}
 	delete(n.executions, ex.key)
+	n.unsentAnswers.Add(1)
 	if completed.answer.Outcome == outcome.Complete {
 		recordLatency(n.runLatencies, ex.offer.Route, now.Sub(ex.arrivedAt))
 	}
@@ -237,6 +238,7 @@
 	runnable := n.dequeueRunnable(now)
 	n.mu.Unlock()
 	n.reply(replies...)
+	n.unsentAnswers.Add(-1)
 	for _, queued := range runnable {
 		n.startExecution(now, queued)
 	}
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -132,7 +132,7 @@
 		return outcome.Canceled
 	}
 	if parent != nil {
-		if !n.answersBeforeExit(now, req.deadline, longestAnswer(estimator)) {
+		if n.exitDecided || !n.answersBeforeExit(now, req.deadline, longestAnswer(estimator)) {
 			return outcome.Draining
 		}
 		req.offer.Nested = true
@@ -148,7 +148,7 @@
 		// The client can send it again.
 		need = likelyAnswer(estimator)
 	}
-	if n.stopping && now.After(n.admissionEnd) || !n.answersBeforeExit(now, req.deadline, need) {
+	if n.exitDecided || n.stopping && now.After(n.admissionEnd) || !n.answersBeforeExit(now, req.deadline, need) {
 		return outcome.Draining
 	}
 	n.allowance(req.service).Request(now)
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -33,6 +33,8 @@
 	// lastAnswersTime bounds the time in which the answers to the requests that are
 	// open at the exit are written.
 	lastAnswersTime = 200 * time.Millisecond
+	// lastFramesTime bounds the time in which the other nodes read the last answers.
+	lastFramesTime = 100 * time.Millisecond
 	// offerPropagationTime bounds the time until offers that were sent before
 	// the other nodes learned of the stop have arrived. It is several times the
 	// latency between failure domains.
@@ -160,23 +162,32 @@
 		time.Sleep(stopPollInterval)
 		now := time.Now()
 		n.mu.Lock()
-		executions := len(n.executions)
 		offersEnd := exitDeadline.Add(-queueDrainTime - drainRunTimes*n.runner.MeanServiceTime())
 		n.mu.Unlock()
-		busy := n.clients.ActiveRequests()
 		elapsed := now.Sub(start)
-		if elapsed > clientDrainTime && busy == 0 || elapsed > minOfferTime && now.After(offersEnd) {
+		if elapsed > clientDrainTime && n.clients.ActiveRequests() == 0 || elapsed > minOfferTime && now.After(offersEnd) {
 			n.announceStopping(now)
 		}
-		if n.offersDrained(now) && executions == 0 && busy == 0 || now.After(exitDeadline) {
+		if n.decideExit(now) {
 			n.logCutRuns(now)
 			n.answerOpenRequests()
 			n.clients.CloseIdle()
+			n.mesh.Shutdown(exitDeadline, lastFramesTime)
 			return
 		}
 	}
 }
 
+// decideExit reports whether a stopping node exits now: nothing is open, or its time has
+// passed. From then on it takes nothing.
+func (n *Node) decideExit(now time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	isIdle := n.offersDrained(now) && len(n.executions) == 0 && n.unsentAnswers.Load() == 0 && n.clients.ActiveRequests() == 0
+	n.exitDecided = isIdle || now.After(n.exitDeadline)
+	return n.exitDecided
+}
+
 // answerOpenRequests ends the requests that are open when a stopping node exits, so
 // that none is cut without an answer.
 func (n *Node) answerOpenRequests() {
@@ -223,9 +234,7 @@
 }
 
 // offersDrained reports whether the stop has been announced and offers in transit
-// at that time have had time to arrive.
+// at that time have had time to arrive. The caller must hold n.mu.
 func (n *Node) offersDrained(now time.Time) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	return n.self.Stopping && now.Sub(n.stopAnnouncedAt) > offerPropagationTime
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -94,7 +94,8 @@
 	offerCount   atomic.Uint64 // number of offers sent, and ID of the latest
 	rewriteEntry atomic.Bool   // the platform log may have lost the local entry
 
-	exiting chan struct{} // closed when a stopping node exits
+	exiting       chan struct{} // closed when a stopping node exits
+	unsentAnswers atomic.Int64  // answers of ended executions that have not been passed on
 
 	mu                 sync.Mutex
 	rawConfiguration   []byte // encoded configuration in force
@@ -135,6 +136,7 @@
 	admissionEnd       time.Time // if stopping, time from which new requests are refused
 	exitDeadline       time.Time // if stopping, time of the exit
 	stopAnnouncedAt    time.Time // when the other nodes were told to send no more offers
+	exitDecided        bool      // nothing is taken any more
 	logUnreadable      bool
 	logGeneration      uint64 // highest generation of the platform log heard of
 	entryChanged       chan struct{}
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -42,6 +42,7 @@
 	node    string     // node that received the offer
 	link    *peer.Link // nil for the local backend server
 	sentAt  time.Time
+	wait    time.Duration // for the answer
 	notice  *frame.Notice // what the server has said of itself, if anything
 }
 
@@ -50,16 +51,12 @@
 func (n *Node) sendOffer(req *request) outcome.Reason {
 	for {
 		now := time.Now()
-		remaining := req.deadline.Sub(now) - deadlineMargin
-		if remaining <= 0 {
-			return outcome.Expired
-		}
 		id, p, reason := n.openOffer(now, req)
 		if reason != outcome.None {
 			return reason
 		}
 		o := req.offer
-		o.ID, o.Wait, o.Sent, o.Notice = id, remaining, now.Sub(n.started), p.notice
+		o.ID, o.Wait, o.Sent, o.Notice = id, p.wait, now.Sub(n.started), p.notice
 		if p.link == nil {
 			req.body.Retain()
 			n.acceptOffer(now, nil, &o, req.body)
@@ -79,6 +76,10 @@
 func (n *Node) openOffer(now time.Time, req *request) (uint64, *pending, outcome.Reason) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	wait := req.deadline.Add(-deadlineMargin).Sub(now)
+	if wait <= 0 {
+		return 0, nil, outcome.Expired
+	}
 	node := n.chooseNode(now, req)
 	switch {
 	case node == "" && req.offerCount == 0:
@@ -86,7 +87,7 @@
 	case node == "" || req.offerCount >= maxOffersPerRequest:
 		return 0, nil, outcome.Overload
 	}
-	p := &pending{request: req, node: node, sentAt: now, notice: n.notices[node]}
+	p := &pending{request: req, node: node, sentAt: now, wait: wait, notice: n.notices[node]}
 	if node != n.self.Node {
 		if p.link = n.mesh.Link(node); p.link == nil {
 			return 0, nil, outcome.Unavailable
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -24,7 +24,7 @@
 	Born          int64           `cbor:"7,keyasint"` // start of the backend server, Unix milliseconds by its clock
 	State         readiness.State `cbor:"8,keyasint"`
 	Slots         int             `cbor:"9,keyasint"`
-	Stopping      bool            `cbor:"10,keyasint"` // the node is shutting down
+	Stopping      bool            `cbor:"10,keyasint"` // the node is shutting down, and takes no more offers
 	LogUnreadable bool            `cbor:"11,keyasint"` // the node cannot read the platform log
 }
 
