Refuse what is queued when a stopping node exits

What callers saw: 502 for requests that had never been sent to a server, in place of a refusal that lets them come back.

Cause: at its exit a node closed its links and left its queue, and offers held for confirmation, to them. The sender of an offer cannot tell these from runs.

Change: near the exit nothing is started any more, and what waits is refused as not run, before links end.

--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -11,6 +11,7 @@
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/socket"
 	"github.com/papayapath/papayapath/pkg/latency"
+	"github.com/papayapath/papayapath/pkg/outcome"
 )
 
 const (
@@ -30,6 +31,9 @@
 	minAnswerTime = 400 * time.Millisecond
 	// answerSlack is the part by which an answer may take longer than all recent ones.
 	answerSlack = 0.25
+	// lastRunsTime is the time before the exit at which the last runs end. It covers
+	// the way of their answers.
+	lastRunsTime = 150 * time.Millisecond
 	// lastAnswersTime bounds the time in which the answers to the requests that are
 	// open at the exit are written.
 	lastAnswersTime = 200 * time.Millisecond
@@ -168,6 +172,9 @@
 		if elapsed > clientDrainTime && n.clients.ActiveRequests() == 0 || elapsed > minOfferTime && now.After(offersEnd) {
 			n.announceStopping(now)
 		}
+		if !now.Before(exitDeadline.Add(-lastRunsTime)) {
+			n.refuseQueued(now)
+		}
 		if n.decideExit(now) {
 			n.logCutRuns(now)
 			n.answerOpenRequests()
@@ -188,6 +195,29 @@
 	return n.exitDecided
 }
 
+// refuseQueued refuses the requests that wait in the queue, or for their sender to
+// confirm them, as not run.
+func (n *Node) refuseQueued(now time.Time) {
+	n.mu.Lock()
+	var waiting []*execution
+	for _, t := range n.runner.Flush(nil) {
+		waiting = append(waiting, t.Value)
+	}
+	for l, c := range n.confirmations {
+		waiting = append(waiting, c.held...)
+		delete(n.confirmations, l)
+	}
+	var replies []reply
+	for _, ex := range waiting {
+		if !ex.canceled {
+			delete(n.executions, ex.key)
+			replies = append(replies, n.refuseOffer(now, ex, outcome.Draining))
+		}
+	}
+	n.mu.Unlock()
+	n.reply(replies...)
+}
+
 // answerOpenRequests ends the requests that are open when a stopping node exits, so
 // that none is cut without an answer.
 func (n *Node) answerOpenRequests() {
@@ -206,6 +236,9 @@
 	return !now.Add(max(minAnswerTime, need)).After(n.exitDeadline)
 }
 
+// runsEnd returns the time by which the runs end that a stopping node has a part in.
+func (n *Node) runsEnd() time.Time { return n.exitDeadline.Add(-lastRunsTime) }
+
 // longestAnswer returns the time that an answer may take, given those of the past. It
 // is 0 if there are none.
 func longestAnswer(e *latency.Estimator) time.Duration {
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -18,7 +18,7 @@
 // and returns them. After a pause of the process there are none until the next check
 // of the queue, so that withdrawals which arrived meanwhile are read first.
 func (n *Node) dequeueRunnable(now time.Time) []*execution {
-	if n.isResuming(now) {
+	if n.isResuming(now) || n.stopping && !now.Before(n.runsEnd()) {
 		return nil
 	}
 	var runnable []*execution
