Have servers end their runs before a stopping node exits

What callers saw: after SIGTERM a request that was taken late got 502 at the exit while its server was at work (LOST).

Cause: a stopping node takes a request if answers of the past would fit. That does not bound what a server takes: a route may turn slow, or be new. Runs kept the deadline of their client, which lies behind the exit, and the exit cut them.

The server ends the run itself, and its answer reaches the caller. An entry node that gets such an early 504 sends a repeatable request to another server. Answers that have arrived at the exit are passed on. Weighed: to take only what is due before the exit refuses reservations and long calls for seconds of each stop, whether or not another node can take them; existing tests hold that they are served.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -99,10 +99,7 @@
 	if reason := n.unavailability(now, ex); reason != outcome.None {
 		return []reply{n.refuseOffer(now, ex, reason)}, false
 	}
-	if n.stopping && n.exitDeadline.Before(ex.ticket.Expires) {
-		// A request that is still queued then is refused instead of cut.
-		ex.ticket.Expires = n.exitDeadline
-	}
+	ex.ticket.Expires = n.boundBeforeExit(ex.ticket.Expires)
 	decision, evicted := n.runner.Offer(now, &ex.ticket)
 	if evicted != nil {
 		delete(n.executions, evicted.Value.key)
@@ -156,6 +153,8 @@
 // recordStart records the start of an execution.
 func (n *Node) recordStart(now time.Time, ex *execution) {
 	ex.server, ex.startedAt = n.readiness.Last().Incarnation, now
+	// It may have been queued before the signal to stop.
+	ex.ticket.Expires = n.boundBeforeExit(ex.ticket.Expires)
 	n.stats.sends.Inc(1)
 	n.callGraph.Run(ex.offer.Route)
 	n.runningByRequest[ex.offer.Request] = ex
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -260,8 +260,16 @@
 	}
 }
 
-// endAtExit ends a request that is open when the node exits.
+// endAtExit ends a request that is open when the node exits, with the answer of its
+// server if that has arrived.
 func (n *Node) endAtExit(req *request) ingress.Response {
+	for range len(req.results) {
+		result := <-req.results
+		req.removeOffer(result.answer.ID)
+		if reply, ok := n.handleResult(req, &result); ok {
+			return reply
+		}
+	}
 	n.recordOpenRun(req, "exit")
 	req.delayUnknown = true
 	return n.endUnanswered(req, outcome.Draining)
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -230,15 +230,25 @@
 // answersBeforeExit reports whether a stopping node can expect to answer a request
 // before it exits: its answer is due by then, or it takes no longer than the given time.
 func (n *Node) answersBeforeExit(now, due time.Time, need time.Duration) bool {
-	if !n.stopping || !due.After(n.exitDeadline) {
+	if !n.stopping || !due.After(n.runsEnd()) {
 		return true
 	}
-	return !now.Add(max(minAnswerTime, need)).After(n.exitDeadline)
+	return !now.Add(max(minAnswerTime, need)).After(n.runsEnd())
 }
 
 // runsEnd returns the time by which the runs end that a stopping node has a part in.
 func (n *Node) runsEnd() time.Time { return n.exitDeadline.Add(-lastRunsTime) }
 
+// boundBeforeExit bounds the time until which a server may work, so that it ends a run
+// itself before this node exits. Otherwise the exit would cut the run, and its answer
+// would not reach the client.
+func (n *Node) boundBeforeExit(due time.Time) time.Time {
+	if n.stopping && due.After(n.runsEnd()) {
+		return n.runsEnd()
+	}
+	return due
+}
+
 // longestAnswer returns the time that an answer may take, given those of the past. It
 // is 0 if there are none.
 func longestAnswer(e *latency.Estimator) time.Duration {
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -76,7 +76,7 @@
 func (n *Node) openOffer(now time.Time, req *request) (uint64, *pending, outcome.Reason) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	wait := req.deadline.Add(-deadlineMargin).Sub(now)
+	wait := n.boundBeforeExit(req.deadline.Add(-deadlineMargin)).Sub(now)
 	if wait <= 0 {
 		return 0, nil, outcome.Expired
 	}
@@ -206,7 +206,7 @@
 			req.lastRun.decider = "link"
 		}
 	}
-	failed := a.Outcome == outcome.Complete && a.Status == fasthttp.StatusInternalServerError
+	failed := a.Outcome == outcome.Complete && (a.Status == fasthttp.StatusInternalServerError || n.endedEarly(req, a))
 	switch {
 	case a.Outcome == outcome.Complete && !failed:
 		n.stats.observeLatency(time.Since(req.arrival))
@@ -233,6 +233,15 @@
 	return n.endUnanswered(req, reason), true
 }
 
+// endedEarly reports whether a server gave up a request at its deadline though the
+// request has time left: its node was stopping, and left it less.
+func (n *Node) endedEarly(req *request, a *frame.Answer) bool {
+	return a.Status == fasthttp.StatusGatewayTimeout && time.Until(req.deadline) > earlyEndTime
+}
+
+// earlyEndTime is the time left from which a deadline counts as an early one.
+const earlyEndTime = 100 * time.Millisecond
+
 // mayRetry reports whether a request that reached a backend server may be sent to
 // another one, and charges the retry to the retry budgets.
 func (n *Node) mayRetry(req *request, a *frame.Answer) bool {
