Keep unrepeatable requests from nodes that exit soon

What callers saw: with stops one second apart, requests that must not be repeated got 502 from a stopping node when the node beside their server exited first (LOST).

Cause: a stopping node was a candidate like any other until shortly before its exit; nothing told the others that it was going to exit.

Change: its entry says so from the signal on (Ending). Requests that must not be repeated go to other nodes first; a node that is not stopping itself uses an ending one as the last resort, a stopping one does not: it refuses, and the client can come back elsewhere. Repeatable ones go on as before, since they can be sent again.

--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -159,6 +159,8 @@
 	n.admissionEnd = start.Add(clientDrainTime)
 	exitDeadline := start.Add(n.env.GracePeriod - exitMargin)
 	n.exitDeadline = exitDeadline
+	n.self.Ending = true
+	n.announceEntry(start)
 	n.mu.Unlock()
 	n.journal.Write(event.NodeStopping, logrus.Fields{"grace_ms": n.env.GracePeriod.Milliseconds(), "requests": n.clients.ActiveRequests()})
 	n.clients.DisableKeepAlives()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -132,11 +133,12 @@
 	queueCheckedAt     time.Time // if expiryScheduled, when the queue was last checked
 	resumedAt          time.Time // end of the interval that follows a pause of the process
 	stopping           bool
-	stoppedAt          time.Time // if stopping, time of the signal
-	admissionEnd       time.Time // if stopping, time from which new requests are refused
-	exitDeadline       time.Time // if stopping, time of the exit
-	stopAnnouncedAt    time.Time // when the other nodes were told to send no more offers
-	exitDecided        bool      // nothing is taken any more
+	stoppedAt          time.Time           // if stopping, time of the signal
+	admissionEnd       time.Time           // if stopping, time from which new requests are refused
+	exitDeadline       time.Time           // if stopping, time of the exit
+	stopAnnouncedAt    time.Time           // when the other nodes were told to send no more offers
+	endingNodes        map[string]struct{} // nodes that will exit within their grace period, but take offers
+	exitDecided        bool                // nothing is taken any more
 	logUnreadable      bool
 	logGeneration      uint64 // highest generation of the platform log heard of
 	entryChanged       chan struct{}
@@ -171,6 +173,7 @@
 		withdrawals:      withdrawal.New(maxWithdrawals),
 		entryChanged:     make(chan struct{}, 1),
 		exiting:          make(chan struct{}),
+		endingNodes:      make(map[string]struct{}),
 		runLatencies:     make(map[message.Route]*latency.Estimator),
 	}
 	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
@@ -262,9 +265,19 @@
 	isUsable := func(node string) bool {
 		return !slices.Contains(req.triedNodes, node) && (node == n.self.Node || n.mesh.Link(node) != nil)
 	}
+	isLasting := func(node string) bool {
+		_, ending := n.endingNodes[node]
+		return (!ending || n.stopping && node == n.self.Node) && isUsable(node)
+	}
 	withinBudget := func(retries float64) bool {
 		return n.allowance(req.service).Allows(now, n.registry.Len(), req.offer.Priority.Level(), retries)
 	}
+	if !req.offer.Repeatable && len(n.endingNodes) > 0 {
+		// A run that outlasts its node is lost. This node may exit later than the other.
+		if node := n.roster.Choose(now, req.service, rand.Float64(), isLasting, withinBudget); node != "" || n.stopping {
+			return cmp.Or(node, n.fallbackNode(req.service, req.triedNodes))
+		}
+	}
 	if node := n.roster.Choose(now, req.service, rand.Float64(), isUsable, withinBudget); node != "" {
 		return node
 	}
@@ -279,7 +292,11 @@
 	}
 	n.rosterRevision = changes
 	var candidates []roster.Candidate
+	clear(n.endingNodes)
 	for _, e := range n.registry.All() {
+		if e.Ending {
+			n.endingNodes[e.Node] = struct{}{}
+		}
 		if e.Accepts(e.Service) && !n.registry.IsLeaving(e) {
 			candidates = append(candidates, roster.Candidate{
 				Node: e.Node, Service: e.Service, Slots: e.Slots, SameDomain: e.Domain == n.self.Domain,
--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -26,6 +26,7 @@
 	Slots         int             `cbor:"9,keyasint"`
 	Stopping      bool            `cbor:"10,keyasint"` // the node is shutting down, and takes no more offers
 	LogUnreadable bool            `cbor:"11,keyasint"` // the node cannot read the platform log
+	Ending        bool            `cbor:"12,keyasint"` // the node has been told to stop; until Stopping, it takes offers
 }
 
 // Newer reports whether e is newer than o, an entry of the same node.
