Use nodes that exit soon as the last resort of a stopping node too

Cause: a stopping node did not use ending nodes at all.

Change: ending nodes are the last resort of every node.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -274,8 +273,8 @@
 	}
 	if !req.offer.Repeatable && len(n.endingNodes) > 0 {
 		// A run that outlasts its node is lost. This node may exit later than the other.
-		if node := n.roster.Choose(now, req.service, rand.Float64(), isLasting, withinBudget); node != "" || n.stopping {
-			return cmp.Or(node, n.fallbackNode(req.service, req.triedNodes))
+		if node := n.roster.Choose(now, req.service, rand.Float64(), isLasting, withinBudget); node != "" {
+			return node
 		}
 	}
 	if node := n.roster.Choose(now, req.service, rand.Float64(), isUsable, withinBudget); node != "" {
