Bound what the lines of chunks take beside a body

Callers see: with a server that answers in small chunks with extensions, the requests of other clients at its node wait for the processor, for as long as the deadline of each request to that server allows.

Cause: net/http's reader accepts lines of 16 bytes a chunk and twice the body in addition. In chunks of one byte that is 22 bytes for each one that counts for the limit of the body, so the limit of 64 MiB bounded nothing before the deadline.

All lines of a body may now take as many bytes as the body and 4 MiB, so that what is read follows the limit of the body, whatever its chunks look like.

--- a/internal/framing/body.go
+++ b/internal/framing/body.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"net/http/httputil"
 
 	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/payload"
@@ -32,7 +31,7 @@
 	case length != lengthChunked:
 		return payload.ReadAll(r, maxBytes, claim(false))
 	}
-	body, err := payload.ReadAll(httputil.NewChunkedReader(r), maxBytes, claim(false))
+	body, err := payload.ReadAll(newChunkReader(r), maxBytes, claim(false))
 	if err != nil {
 		return nil, err
 	}
