Read the answer to a health check as any other answer

Callers see: a faulty server that is asked for its health takes a second of one processor at its node, again with each heartbeat until the check passes.

Cause: the check used fasthttp's client. That discards the extension of a chunk without a bound, and asks up to five times when what it read is no answer.

The check now uses the reader of the answers to requests, which bounds each part, and moves to internal/framing with it. It asks again only if the server closed the connection without an answer, as before (TestHealthCheckAfterClosedConnections).

--- a/internal/framing/doc.go
+++ b/internal/framing/doc.go
@@ -1,3 +1,4 @@
-// Package framing reads the body of an HTTP/1.1 message, and checks that the header
-// section states the length of the body in one way only.
+// Package framing reads responses and the bodies of requests in HTTP/1.1, within
+// bounds on all that a sender can send. It checks that a header section states the
+// length of the body in one way only.
 package framing
--- a/internal/upstream/response.go
+++ b/internal/framing/response.go
@@ -1,4 +1,4 @@
-package upstream
+package framing
 
 import (
 	"bufio"
@@ -7,7 +7,6 @@
 
 	"github.com/valyala/fasthttp"
 
-	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/payload"
 )
@@ -16,10 +15,11 @@
 // response. The node never asks for one.
 const maxInterimResponses = 4
 
-// readResponse reads the header of the next final response into h and returns
-// its body, which belongs to the caller. Memory use follows the bytes received:
-// lengths that the server announces, and lines without end, allocate nothing.
-func readResponse(r *bufio.Reader, h *fasthttp.ResponseHeader, headOnly bool, maxBody int, claim func(announced bool) *memory.Claim) (*payload.Body, error) {
+// ReadResponse reads the header of the next final response into h and returns
+// its body, which belongs to the caller. A header section has to fit into the buffer
+// of r. Memory use follows the bytes received: lengths that the server announces, and
+// lines without end, allocate nothing.
+func ReadResponse(r *bufio.Reader, h *fasthttp.ResponseHeader, headOnly bool, maxBody int, claim func(announced bool) *memory.Claim) (*payload.Body, error) {
 	for range maxInterimResponses + 1 {
 		if err := readHeader(r, h); err != nil {
 			return nil, err
@@ -30,10 +30,10 @@
 		case headOnly || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
 			return nil, nil
 		default:
-			return framing.ReadBody(r, h.ContentLength(), maxBody, claim)
+			return ReadBody(r, h.ContentLength(), maxBody, claim)
 		}
 	}
-	return nil, &ResponseError{reason: "follows too many interim responses"}
+	return nil, &Error{reason: "follows too many interim responses"}
 }
 
 // readHeader reads a header section, which has to fit into the buffer of r.
@@ -45,7 +45,7 @@
 		return err
 	}
 	_, fields, _ := bytes.Cut(section, []byte{'\n'})
-	if err := framing.Check(fields); err != nil {
+	if err := Check(fields); err != nil {
 		return err
 	}
 	return h.Read(r)
@@ -56,7 +56,7 @@
 	for n := 1; ; n = r.Buffered() + 1 {
 		if _, err := r.Peek(n); err != nil {
 			if errors.Is(err, bufio.ErrBufferFull) {
-				return nil, &ResponseError{reason: "has a header section that is too long"}
+				return nil, &Error{reason: "has a header section that is too long"}
 			}
 			return nil, err
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/fault"
+	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/payload"
 )
@@ -192,7 +193,7 @@
 // requests.
 func (c *conn) readAnswer(r *bufio.Reader, h *fasthttp.ResponseHeader, e *Exchange) (a *Answer, keep bool) {
 	for range maxStaleResponses + 1 {
-		body, err := readResponse(r, h, e.request.HeadOnly, c.pool.maxBody, c.claim)
+		body, err := framing.ReadResponse(r, h, e.request.HeadOnly, c.pool.maxBody, c.claim)
 		if err != nil {
 			return &Answer{Sent: true, Err: err}, false
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -42,9 +41,6 @@
 	// knownRequests is the number of latest requests whose IDs are remembered. An
 	// ID comes again within the deadline of the request that a client has sent.
 	knownRequests = 8192
-	// maxHealthBody bounds the body of a health check's response, in bytes. The
-	// body is not used.
-	maxHealthBody = 64 << 10
 )
 
 // HeaderCodec interprets the header fields of responses.
@@ -309,28 +305,3 @@
 	defer p.mu.Unlock()
 	return len(p.all), p.dialed, p.reused
 }
-
-// CheckHealth requests the server's health check over a new connection and
-// passes the header of the response to read.
-func CheckHealth(ctx context.Context, address, path string, timeout time.Duration, read func(h *fasthttp.ResponseHeader)) error {
-	client := fasthttp.HostClient{
-		Addr:                address,
-		MaxConns:            1,
-		MaxResponseBodySize: maxHealthBody,
-		Dial: func(a string) (net.Conn, error) {
-			d := net.Dialer{Timeout: timeout}
-			return d.DialContext(ctx, "tcp4", a)
-		},
-	}
-	defer client.CloseIdleConnections()
-	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(req)
-	defer fasthttp.ReleaseResponse(resp)
-	req.SetRequestURI("http://" + address + path)
-	req.SetConnectionClose()
-	if err := client.DoTimeout(req, resp, timeout); err != nil {
-		return err
-	}
-	read(&resp.Header)
-	return nil
-}
