Bound the answers of the store with all that is read beside them

Callers see: a store that sends bytes which are no answer takes a processor of each node that reads it, for as long as a call may take (2 s, or 15.7 s for a read that waits), again with each call. A call on a connection on which bytes had followed an answer took those for its own answer.

Cause: fasthttp's client discards the extension of a chunk without a bound, and keeps a connection on which more than the answer has arrived.

A connection is kept only if nothing but the answer has arrived, and used again only if nothing has arrived since.

--- a/internal/socket/closed.go
+++ b/internal/socket/closed.go
@@ -11,6 +11,16 @@
 // even if bytes that it sent before are unread. It is false for a connection without
 // a descriptor.
 func IsClosedByPeer(conn net.Conn) bool {
+	return isReady(conn, unix.POLLRDHUP)
+}
+
+// IsQuiet reports whether conn is open and nothing has arrived that could be read, as
+// on a connection between two exchanges. It is true for a connection without a
+// descriptor.
+func IsQuiet(conn net.Conn) bool { return !isReady(conn, unix.POLLIN|unix.POLLRDHUP) }
+
+// isReady reports whether one of the events, or a failure, is pending on conn.
+func isReady(conn net.Conn, events int16) bool {
 	c, ok := conn.(syscall.Conn)
 	if !ok {
 		return false
@@ -19,19 +29,22 @@
 	if err != nil {
 		return true
 	}
-	hungUp := false
-	err = raw.Control(func(fd uintptr) { hungUp = IsHungUp(fd) })
-	return hungUp || err != nil
+	ready := false
+	err = raw.Control(func(fd uintptr) { ready = poll(fd, events) })
+	return ready || err != nil
 }
 
 // IsHungUp is like IsClosedByPeer, for a descriptor. It consumes no data.
-func IsHungUp(fd uintptr) bool {
-	p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+func IsHungUp(fd uintptr) bool { return poll(fd, unix.POLLRDHUP) }
+
+// poll reports whether one of the events, or a failure, is pending.
+func poll(fd uintptr, events int16) bool {
+	p := []unix.PollFd{{Fd: int32(fd), Events: events}}
 	for {
 		n, err := unix.Poll(p, 0)
 		if err == unix.EINTR {
 			continue
 		}
-		return err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		return err == nil && n > 0 && p[0].Revents&(events|unix.POLLHUP|unix.POLLERR) != 0
 	}
 }
--- a/internal/upstream/health_test.go
+++ b/internal/upstream/health_test.go
@@ -24,7 +24,7 @@
 		maxAnswer   = 5 << 20
 		memoryLimit = 4 << 20
 	)
-	for name, stream := range endlessAnswers("") {
+	for name, stream := range endless.Answers("") {
 		t.Run(name, func(t *testing.T) {
 			s := serveEndless(t, stream)
 			start := time.Now()
