Bound what a heartbeat, readiness check or metrics request takes to read

Callers see: a faulty server that sends a heartbeat without an end, or does not read the answers to its heartbeats, keeps connections and processors of its node, of which others get less. By the code (not run): for 10 s in the first case and for good in the second, on up to 64 connections, beyond which heartbeats are refused.

Cause: the listeners bound the body, and not what is read beside it. fasthttp discards the extension of a chunk until the read deadline. No bound held for the time in which an answer is read, nor for the requests of a connection.

The connections of these listeners fail once more than 256 KiB has been read without an answer, whatever it is. An answer has to be read in 2 s, and a connection carries 1000 requests.

--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -51,8 +51,16 @@
 	// for heartbeats, readiness checks or metrics to 4 MiB.
 	maxAuxiliaryBody        = 64 << 10
 	maxAuxiliaryConnections = 64
-	// auxiliaryReadTimeout bounds the time in which such a request arrives.
-	auxiliaryReadTimeout = 10 * time.Second
+	// maxAuxiliaryRequest bounds all that is read of such a request: its header
+	// section, its body, and the lines and trailer of chunks.
+	maxAuxiliaryRequest = 256 << 10
+	// maxAuxiliaryRequests is the number of requests of a connection. A sender that
+	// never pauses has to connect again.
+	maxAuxiliaryRequests = 1000
+	// auxiliaryReadTimeout bounds the time in which such a request arrives, and
+	// auxiliaryWriteTimeout that in which its answer is read.
+	auxiliaryReadTimeout  = 10 * time.Second
+	auxiliaryWriteTimeout = 2 * time.Second
 	// stopPollInterval is how often a stopping node checks whether it may exit.
 	stopPollInterval = 25 * time.Millisecond
 )
@@ -95,9 +103,9 @@
 		serve           func(net.Listener) error
 	}{
 		{n.env.PeerAddr.String(), true, n.mesh.Accept},
-		{n.env.HeartbeatAddr.String(), false, newAuxiliaryServer(n.serveControl).Serve},
-		{n.env.ReadinessAddr.String(), false, newAuxiliaryServer(n.serveReadiness).Serve},
-		{metricsAddress(n.env.PeerAddr.Addr().String()), false, newAuxiliaryServer(n.metrics).Serve},
+		{n.env.HeartbeatAddr.String(), false, serveAuxiliary(n.serveControl)},
+		{n.env.ReadinessAddr.String(), false, serveAuxiliary(n.serveReadiness)},
+		{metricsAddress(n.env.PeerAddr.Addr().String()), false, serveAuxiliary(n.metrics)},
 		{n.env.CallerAddr.String(), false, n.clients.Serve},
 	} {
 		ln, err := socket.Listen(ctx, s.address, s.detectDeadPeers)
@@ -122,10 +130,9 @@
 	return listeners, nil
 }
 
-// newAuxiliaryServer returns an HTTP server with small buffers for infrequent
-// requests.
-func newAuxiliaryServer(h fasthttp.RequestHandler) *fasthttp.Server {
-	return &fasthttp.Server{
+// serveAuxiliary returns a function that serves infrequent requests with small buffers.
+func serveAuxiliary(h fasthttp.RequestHandler) func(net.Listener) error {
+	server := &fasthttp.Server{
 		Handler:               h,
 		ReadBufferSize:        2048,
 		WriteBufferSize:       1024,
@@ -133,9 +140,12 @@
 		NoDefaultDate:         true,
 		MaxRequestBodySize:    maxAuxiliaryBody,
 		Concurrency:           maxAuxiliaryConnections,
+		MaxRequestsPerConn:    maxAuxiliaryRequests,
 		ReadTimeout:           auxiliaryReadTimeout,
+		WriteTimeout:          auxiliaryWriteTimeout,
 		IdleTimeout:           time.Minute,
 	}
+	return func(ln net.Listener) error { return server.Serve(socket.Bounded(ln, maxAuxiliaryRequest)) }
 }
 
 // serveReadiness handles the platform's readiness check.
