Tell a slow link from a silent one

A link between two nodes was closed as silent while the other node read a large body, or many frames, and all requests on it ended as unknown, also those at which servers worked.

Cause: pings and their answers wait behind what has been sent. Progress was counted when a piece of a body had been written, which says nothing of what the kernels of both nodes still hold; at 2 MB a second that takes more than the second after which a link counts as silent.

The node that accepted a link now reports that it reads, with a frame of 10 bytes at most once in 250 ms, while a frame takes longer than that to arrive or after 64 KiB, and only if nothing else is being written. Any bytes read count as progress already, so the other node needs no new decision, and a node that stops reading reports nothing: it is found as soon as before. The report is no pong, which would confirm delayed offers.

TestLargeBodyOnSlowLink read the link with a goroutine that never answers, as no node does, and nothing told its node that the end of the body was read. It is now a node behind a slower link (2 MB a second instead of 8), and the body has to arrive. TestLinkThatFallsSilentInLargeBody bounds how soon silence is found.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,6 +30,9 @@
 	// maxWrite is the size of a write. Each has its own deadline, so that a large
 	// body may take longer than writeTimeout.
 	maxWrite = 1 << 20
+	// minReportedBytes is the number of bytes read from which a link that is read
+	// without a pause is reported to be read. Frames that arrive at once cost nothing.
+	minReportedBytes = 64 << 10
 )
 
 // Link is a connection to another node. It is safe for concurrent use.
@@ -242,24 +245,66 @@
 
 // readFrames passes frames to h until reading fails, and returns the error.
 func (l *Link) readFrames(h Handler) error {
-	r := bufio.NewReaderSize(&progressReader{link: l}, readBufferSize)
+	p := &progressReader{link: l}
+	r := bufio.NewReaderSize(p, readBufferSize)
 	for {
+		p.begun = time.Time{}
 		f, err := frame.Read(r, l.budget)
 		if err != nil {
 			return err
 		}
+		if f.Kind == frame.KindProgress {
+			f.Body.Release()
+			continue // the read has been counted
+		}
 		h.HandleFrame(l, f)
 	}
 }
 
-// progressReader counts reads of a link. A large frame takes many.
-type progressReader struct{ link *Link }
+// reportProgress tells the other node that what it sent is being read, unless other
+// frames are on their way and tell it anyway.
+func (l *Link) reportProgress() {
+	l.mu.Lock()
+	isWriting := l.flushing
+	l.mu.Unlock()
+	if !isWriting {
+		Send(l, frame.KindProgress, frame.Ping{}, nil)
+	}
+}
+
+// progressReader counts reads of a link. A large frame takes many. It reports them to
+// the node that opened the link, which closes the link when it hears nothing: pings
+// wait behind what is being read.
+type progressReader struct {
+	link       *Link
+	begun      time.Time // first read of the frame; zero before it
+	reported   time.Time // last report
+	unreported int       // bytes
+}
 
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
 	n, err := r.link.conn.Read(p)
 	if n > 0 {
 		r.link.progress.Add(1)
+		if r.link.address == "" && r.mustReport(time.Now(), n) {
+			// Reading must not wait until the report is written.
+			go r.link.reportProgress()
+		}
 	}
 	return n, err
 }
+
+// mustReport reports whether a read of n bytes has to be reported: once in each
+// checkInterval while a frame takes longer than that to arrive, or while much arrives.
+func (r *progressReader) mustReport(now time.Time, n int) bool {
+	if r.begun.IsZero() {
+		r.begun = now
+	}
+	r.unreported += n
+	if now.Sub(r.reported) < checkInterval || now.Sub(r.begun) < checkInterval && r.unreported < minReportedBytes {
+		return false
+	}
+	r.reported, r.unreported = now, 0
+	return true
+}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -209,13 +209,184 @@
 	require.Zero(t, unreachable)
 }
 
-// Guards against a link that is closed, with all offers on it, because a large body
-// takes longer to write than the time in which an unresponsive node is detected.
+// slowLink relays the connections to a listener at slowRate in each direction, until it
+// is stopped.
+type slowLink struct {
+	net.Listener
+	stopped atomic.Bool
+}
+
+const (
+	// slowRate is that of a link of 16 Mbit/s, in bytes a second. The buffers of the
+	// kernel take several seconds of it.
+	slowRate = 2 << 20
+	// relayPeriod is the interval between two pieces of a slow link.
+	relayPeriod = 10 * time.Millisecond
+)
+
+// newSlowLink returns a relay to target.
+func newSlowLink(t *testing.T, target string) *slowLink {
+	s := &slowLink{Listener: listen(t, "127.0.0.1:0")}
+	go func() {
+		for {
+			from, err := s.Accept()
+			if err != nil {
+				return
+			}
+			to, err := net.Dial("tcp4", target)
+			if err != nil {
+				from.Close()
+				return
+			}
+			go s.relay(from, to)
+			go s.relay(to, from)
+		}
+	}()
+	return s
+}
+
+// relay copies until from ends, and closes both connections then.
+func (s *slowLink) relay(from, to net.Conn) {
+	defer from.Close()
+	defer to.Close()
+	// Time that a busy machine takes from the relay is made up for, so that the rate is
+	// that of the link.
+	start, relayed := time.Now(), 0.0
+	for buffer := make([]byte, 64<<10); ; time.Sleep(relayPeriod) {
+		for !s.stopped.Load() && relayed < slowRate*time.Since(start).Seconds() {
+			n, err := from.Read(buffer)
+			if err != nil {
+				return
+			}
+			if _, err = to.Write(buffer[:n]); err != nil {
+				return
+			}
+			relayed += float64(n)
+		}
+	}
+}
+
+// newSlowMeshes returns a mesh with a link through a relay to a node whose handler is
+// returned too, and the handler of the mesh. A response is pending and the link is
+// monitored.
+func newSlowMeshes(t *testing.T) (l *peer.Link, relay *slowLink, local, remote *handler) {
+	local, remote = &handler{}, &handler{}
+	local.pending.Store(true)
+	ln := listen(t, "127.0.0.1:0")
+	server := peer.NewMesh(remote)
+	t.Cleanup(server.Close)
+	go server.Accept(ln) //nolint:errcheck // returns when the listener is closed
+	relay = newSlowLink(t, ln.Addr().String())
+	address := relay.Addr().String()
+	m := peer.NewMesh(local)
+	t.Cleanup(m.Close)
+	m.Connect(t.Context(), address)
+	require.Eventually(t, func() bool { return m.Link(address) != nil }, timeout, pollInterval)
+	go m.MonitorLinks(t.Context())
+	return m.Link(address), relay, local, remote
+}
+
+// newBody returns a body of zeros.
+func newBody(t *testing.T, size int) *payload.Body {
+	body, err := payload.Read(bytes.NewReader(make([]byte, size)), size, nil)
+	require.NoError(t, err)
+	return body
+}
+
+const (
+	largeBody = 12 << 20
+	// timeOfLargeBody is six times as long as a link may be silent.
+	timeOfLargeBody = largeBody / slowRate * time.Second
+)
+
+// Guards against LOST and against a link that is closed as silent, with all offers on
+// it, while the other node reads a large body: what the kernel holds when the last
+// piece is written may take seconds to cross a slow link.
 func TestLargeBodyOnSlowLink(t *testing.T) {
+	l, _, local, remote := newSlowMeshes(t)
+	require.True(t, peer.Send(l, frame.KindOffer, &frame.Offer{ID: 1}, newBody(t, largeBody)))
+	require.True(t, peer.Send(l, frame.KindCancel, frame.Cancel{ID: 1}, nil))
+	require.Eventually(t, func() bool {
+		_, down, _, _ := local.counts()
+		_, _, canceled, _ := remote.counts()
+		return down > 0 || canceled > 0
+	}, 2*timeOfLargeBody, pollInterval)
+	_, down, _, _ := local.counts()
+	_, _, canceled, _ := remote.counts()
+	require.Zero(t, down)
+	require.Equal(t, 1, canceled)
+}
+
+// Guards against a link that is closed as silent while the other node reads many small
+// frames to which it has no answer yet.
+func TestManyFramesOnSlowLink(t *testing.T) {
+	const frames = 8 << 10
+	l, _, local, remote := newSlowMeshes(t)
+	go func() {
+		offer := &frame.Offer{Head: make([]byte, 1<<10)}
+		for range frames {
+			peer.Send(l, frame.KindOffer, offer, nil)
+		}
+		peer.Send(l, frame.KindCancel, frame.Cancel{ID: 1}, nil)
+	}()
+	require.Eventually(t, func() bool {
+		_, down, _, _ := local.counts()
+		_, _, canceled, _ := remote.counts()
+		return down > 0 || canceled > 0
+	}, timeout, pollInterval)
+	_, down, _, _ := local.counts()
+	require.Zero(t, down)
+}
+
+// Guards against reports that cost more than what they report: frames that arrive at
+// once are not reported.
+func TestSmallFramesAreNotReported(t *testing.T) {
+	const frames = 50
+	b := &handler{}
+	ln := listen(t, "127.0.0.1:0")
+	server := peer.NewMesh(b)
+	go server.Accept(ln) //nolint:errcheck // returns when the listener is closed
+	m := peer.NewMesh(&handler{})
+	defer m.Close()
+	m.Connect(t.Context(), ln.Addr().String())
+	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
+	l := m.Link(ln.Addr().String())
+	for id := range uint64(frames) {
+		require.True(t, peer.Send(l, frame.KindOffer, &frame.Offer{ID: id, Head: make([]byte, 1<<10)}, nil))
+		require.True(t, peer.Send(l, frame.KindCancel, frame.Cancel{ID: id}, nil))
+		time.Sleep(2 * pollInterval)
+	}
+	require.Eventually(t, func() bool { _, _, n, _ := b.counts(); return n == frames }, timeout, pollInterval)
+	require.Zero(t, server.Traffic().Sent(frame.KindProgress))
+}
+
+// Guards against offers that wait for a node that falls silent while it reads a large
+// body: it is found as soon as any other.
+func TestLinkThatFallsSilentInLargeBody(t *testing.T) {
+	l, relay, local, _ := newSlowMeshes(t)
+	sent := make(chan bool, 1)
+	go func() { sent <- peer.Send(l, frame.KindOffer, &frame.Offer{ID: 1}, newBody(t, largeBody)) }()
+	time.Sleep(timeOfLargeBody / 3)
+	_, down, _, _ := local.counts()
+	require.Zero(t, down)
+	relay.stopped.Store(true)
+	stopped := time.Now()
+	require.Eventually(t, func() bool { _, down, _, _ := local.counts(); return down > 0 }, timeout, pollInterval)
+	// A second of silence, and as long for what is on its way and for a busy machine.
+	require.Less(t, time.Since(stopped), 2*time.Second)
+	require.True(t, <-sent)
+}
+
+// Guards against a link that is closed, with all offers on it, while a large body is
+// being written to a node that does not report what it reads. What the kernel holds
+// when the last piece is written is not covered.
+func TestLargeBodyIsWrittenSlowly(t *testing.T) {
 	const (
 		size   = 24 << 20
 		piece  = 256 << 10
 		period = 30 * time.Millisecond // 8 MB a second
+		// buffer keeps the kernel from taking the whole body at once.
+		buffer = 256 << 10
 	)
 	h := &handler{}
 	h.pending.Store(true)
@@ -226,22 +397,28 @@
 	conn, err := ln.Accept()
 	require.NoError(t, err)
 	defer conn.Close()
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(buffer))
 	go m.MonitorLinks(t.Context())
 	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
-	sent := make(chan bool, 1)
+	written := make(chan bool, 1)
+	body := newBody(t, size)
 	go func() {
-		body, err := payload.Read(bytes.NewReader(make([]byte, size)), size, nil)
-		sent <- err == nil && peer.Send(m.Link(ln.Addr().String()), frame.KindOffer, &frame.Offer{ID: 1}, body)
+		l := m.Link(ln.Addr().String())
+		peer.Send(l, frame.KindOffer, &frame.Offer{ID: 1}, body)
+		written <- peer.Send(l, frame.KindCancel, frame.Cancel{ID: 1}, nil) // false if the link is closed
 	}()
-	received := 0
-	for buffer := make([]byte, piece); received < size; time.Sleep(period) {
-		n, err := io.ReadFull(conn, buffer)
-		received += n
-		require.NoError(t, err, "after %d bytes", received)
+	for data := make([]byte, piece); ; time.Sleep(period) {
+		select {
+		case isOpen := <-written:
+			require.True(t, isOpen)
+			_, down, _, _ := h.counts()
+			require.Zero(t, down)
+			return
+		default:
+		}
+		_, err := io.ReadFull(conn, data)
+		require.NoError(t, err)
 	}
-	require.True(t, <-sent)
-	_, down, _, _ := h.counts()
-	require.Zero(t, down)
 }
 
 // Guards against GONE: a withdrawal that is dropped because there is no memory for the
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -34,12 +34,13 @@
 	KindSuspicions                    // Suspicions
 	KindSummary                       // Summary
 	KindBuckets                       // Buckets
+	KindProgress                      // Ping; the sender is reading, and the receiver need not answer
 	KindCount                         // number of kinds, including the unused zero
 )
 
 // kindNames are the names of the kinds in metrics.
 var kindNames = [KindCount]string{
-	"invalid", "offer", "answer", "cancel", "entries", "digest", "configuration", "ping", "pong", "suspicions", "summary", "buckets",
+	"invalid", "offer", "answer", "cancel", "entries", "digest", "configuration", "ping", "pong", "suspicions", "summary", "buckets", "progress",
 }
 
 // String returns the name of the kind.
