--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -38,7 +38,7 @@
 	// open at the exit are written.
 	lastAnswersTime = 200 * time.Millisecond
 	// lastFramesTime bounds the time in which the other nodes read the last answers.
-	lastFramesTime = 100 * time.Millisecond
+	lastFramesTime = 75 * time.Millisecond
 	// offerPropagationTime bounds the time until offers that were sent before
 	// the other nodes learned of the stop have arrived. It is several times the
 	// latency between failure domains.
