Send nothing on a link whose end has been written

What callers saw: 502 for requests that had been answered when the node beside their server exited, found by review.

Cause: a node that shuts its mesh down still answered pings, offers and digests of the others. The write fails after the half close, which closed the link; the next bytes of the other node then reset it before it had read the last frames.

Change: a link that has been ended towards the other node sends nothing more. What would have been sent is answered by the end of the link.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -48,6 +48,7 @@
 	spare         []byte // buffer of an earlier write, for reuse
 	flushing      bool
 	closed        bool
+	ended         bool      // nothing more is sent, but what the other node sends is read
 	writeDeadline time.Time // accessed only by the flushing goroutine
 }
 
@@ -101,9 +102,11 @@
 // until it has been written.
 func Send[T any](l *Link, kind frame.Kind, v T, body *payload.Body) bool {
 	l.mu.Lock()
-	if l.closed {
+	if l.closed || l.ended {
+		isEnded := !l.closed
 		l.mu.Unlock()
-		return false
+		// The end of the link answers for what is not sent.
+		return isEnded
 	}
 	before := len(l.pending.data)
 	data, err := frame.AppendWithoutBody(l.pending.data, kind, v, body.Len())
@@ -227,8 +230,12 @@
 }
 
 // closeWrite ends the link towards the other node, which closes it once it has read all
-// that was written. Closing with unread bytes would reset the connection before.
+// that was written. Closing with unread bytes, or a further write, would reset the
+// connection before.
 func (l *Link) closeWrite() {
+	l.mu.Lock()
+	l.ended = true
+	l.mu.Unlock()
 	c, ok := l.conn.(interface{ CloseWrite() error })
 	if !ok || c.CloseWrite() != nil {
 		l.Close()
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -216,16 +216,18 @@
 // linger at most.
 func (m *Mesh) Shutdown(end time.Time, linger time.Duration) {
 	links := m.stop()
+	writeEnd := end
 	if least := time.Now().Add(linger); end.Before(least) {
-		end = least
+		writeEnd = least
 	}
-	for time.Now().Before(end) && slices.ContainsFunc(links, (*Link).isWriting) {
+	for time.Now().Before(writeEnd) && slices.ContainsFunc(links, (*Link).isWriting) {
 		time.Sleep(shutdownPollInterval)
 	}
 	for _, l := range links {
 		l.closeWrite()
 	}
-	for end := time.Now().Add(linger); time.Now().Before(end) && m.hasLinks(); {
+	lingerEnd := time.Now().Add(linger)
+	for time.Now().Before(lingerEnd) && m.hasLinks() {
 		time.Sleep(shutdownPollInterval)
 	}
 }
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -498,3 +498,46 @@
 	_, _, count, _ := received.counts()
 	require.Equal(t, frames, count)
 }
+
+// linkKeeper passes on the link on which the first frame has arrived.
+type linkKeeper struct {
+	handler
+	links chan *peer.Link
+}
+
+func (k *linkKeeper) HandleFrame(l *peer.Link, f frame.Frame) {
+	select {
+	case k.links <- l:
+	default:
+	}
+	k.handler.HandleFrame(l, f)
+}
+
+// Guards against LOST: a node that exits answers a ping behind its last frames. The
+// write fails, and resets the link before the other node has read them.
+func TestPingsDuringShutdownLoseNothing(t *testing.T) {
+	const size, linger = 300 << 10, 500 * time.Millisecond
+	k := &linkKeeper{links: make(chan *peer.Link, 1)}
+	ln := listen(t, "127.0.0.1:0")
+	m := peer.NewMesh(k)
+	go m.Accept(ln) //nolint:errcheck // returns when the listener is closed
+	c, err := net.Dial("tcp4", ln.Addr().String())
+	require.NoError(t, err)
+	defer c.Close()
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4<<10))
+	ping, err := frame.Append(nil, frame.KindPing, frame.Ping{}, nil)
+	require.NoError(t, err)
+	_, err = c.Write(ping)
+	require.NoError(t, err)
+	l := <-k.links
+	require.True(t, peer.Send(l, frame.KindConfiguration, frame.Configuration{}, payload.NewBody(make([]byte, size), nil)))
+	go m.Shutdown(time.Now(), linger)
+	for range 4 {
+		time.Sleep(20 * time.Millisecond)
+		_, err = c.Write(ping)
+		require.NoError(t, err)
+	}
+	data, err := io.ReadAll(c)
+	require.NoError(t, err)
+	require.Greater(t, len(data), size)
+}
