Wait for servers that end a run a little late before an exit

What callers saw: 502 at the exit for a run that its server ended 75 ms or more after the deadline that a stopping node had handed it, found by review.

Cause: the node cuts a run 20 ms after its deadline, which is right for the deadline of a client. This one is the node's own, 150 ms before its exit.

Change: such a run is cut by the exit only.

Evidence: TestServersEndTheirRunsBeforeTheExit with a server that is 100 ms late gets 502 before and the server's 504 now.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -166,15 +166,20 @@
 
 // startExecution sends a request to the local backend server.
 func (n *Node) startExecution(now time.Time, ex *execution) {
+	remaining := ex.ticket.Expires.Sub(now)
+	timeout := remaining
 	n.mu.Lock()
 	isWithdrawn := ex.canceled
+	if n.stopping && !ex.ticket.Expires.Before(n.runsEnd()) {
+		// The deadline is this node's, not the client's: a late answer is still wanted.
+		timeout += lastRunsTime
+	}
 	n.mu.Unlock()
 	if isWithdrawn {
 		// Nested endings could use up the stack.
 		go n.endExecution(ex, &upstream.Answer{NotRun: true, Err: errWithdrawn})
 		return
 	}
-	remaining := ex.ticket.Expires.Sub(now)
 	body := ex.body
 	isCopied := body.Len() <= maxCopiedBody
 	size := len(ex.offer.Head) + attemptFieldsReserve
@@ -187,7 +192,7 @@
 		data, body = body.AppendTo(data), nil
 	}
 	e := n.pool.Start(now, &upstream.Request{
-		ID: ex.offer.Request, Raw: data, Body: body, Timeout: remaining, HeadOnly: ex.offer.HeadOnly,
+		ID: ex.offer.Request, Raw: data, Body: body, Timeout: timeout, HeadOnly: ex.offer.HeadOnly,
 	}, func(a *upstream.Answer) { n.endExecution(ex, a) })
 	n.mu.Lock()
 	ex.exchange = e
