Count all answers on their way, and refuse held offers, at an exit

What callers saw: nothing yet; found by review. An offer that is refused, and one that is held until its sender confirms it, could end as unknown (502) instead of not run when its node exits in that moment. A slow link could hold the exit while queued requests are refused.

Cause: only ended executions were counted as answers on their way; held offers did not look at the decision to exit; the time left ignored the own exit.

Change: each answer counts from the moment at which its offer is taken from the tables; held offers are refused once the exit is decided; refusals at the exit are sent by a goroutine of their own; an early end is tried again only if there is time before the exit; the reason is draining. Log fields tell of ending nodes.

Evidence: tests of stops, departures and the soak's cases pass; these windows have no test of their own.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -71,7 +71,7 @@
 	var mustAsk, isStarted bool
 	mustConfirm := isFirst || delay > maxUnconfirmedDelay || n.confirmations[from] != nil
 	switch {
-	case !mustConfirm || ex.offer.Wait <= 0:
+	case !mustConfirm || ex.offer.Wait <= 0 || n.exitDecided:
 		replies, isStarted = n.placeOffer(now, ex)
 	case n.canHold(from):
 		mustAsk = n.holdOffer(now, ex)
@@ -242,7 +242,6 @@
 	runnable := n.dequeueRunnable(now)
 	n.mu.Unlock()
 	n.reply(replies...)
-	n.unsentAnswers.Add(-1)
 	for _, queued := range runnable {
 		n.startExecution(now, queued)
 	}
@@ -321,6 +320,7 @@
 // refuseOffer returns the answer to a refused offer.
 func (n *Node) refuseOffer(now time.Time, ex *execution, reason outcome.Reason) reply {
 	n.stats.offersRefused.Inc(1)
+	n.unsentAnswers.Add(1)
 	a := frame.Answer{ID: ex.key.id, Outcome: outcome.NotRun, Reason: reason}
 	n.setServerState(now, ex, &a)
 	n.journal.WriteSampled(now, event.OfferRefused, func() logrus.Fields {
@@ -339,15 +339,16 @@
 	for i := range replies {
 		r := &replies[i]
 		r.execution.body.Release()
-		if r.execution.key.link == nil {
+		if l := r.execution.key.link; l == nil {
 			n.handleAnswer(time.Now(), nil, &r.answer, r.body)
-			continue
-		}
-		// If the link has closed, the sender has already ended its offers. It does
-		// so if there is no memory for the answer either.
-		if !peer.Send(r.execution.key.link, frame.KindAnswer, &r.answer, r.body) {
-			r.execution.key.link.Close()
+		} else {
+			// If the link has closed, the sender has already ended its offers. It
+			// does so if there is no memory for the answer either.
+			if !peer.Send(l, frame.KindAnswer, &r.answer, r.body) {
+				l.Close()
+			}
+			r.body.Release()
 		}
-		r.body.Release()
+		n.unsentAnswers.Add(-1)
 	}
 }
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -38,14 +38,14 @@
 	// open at the exit are written.
 	lastAnswersTime = 200 * time.Millisecond
 	// lastFramesTime bounds the time in which the other nodes read the last answers.
-	lastFramesTime = 75 * time.Millisecond
+	lastFramesTime = 50 * time.Millisecond
 	// offerPropagationTime bounds the time until offers that were sent before
 	// the other nodes learned of the stop have arrived. It is several times the
 	// latency between failure domains.
 	offerPropagationTime = 100 * time.Millisecond
 	// exitMargin is the time before the end of the grace period at which a
-	// stopping node exits even with open requests. It covers the process exit
-	// itself.
+	// stopping node exits even with open requests. It covers lastAnswersTime, twice
+	// lastFramesTime, and the process exit itself with the last log lines.
 	exitMargin = 600 * time.Millisecond
 	// maxAuxiliaryBody and maxAuxiliaryConnections bound the memory of a listener
 	// for heartbeats, readiness checks or metrics to 4 MiB.
@@ -227,7 +227,8 @@
 		}
 	}
 	n.mu.Unlock()
-	n.reply(replies...)
+	// A link may be slow; the exit does not wait for it here.
+	go n.reply(replies...)
 }
 
 // answerOpenRequests ends the requests that are open when a stopping node exits, so
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -380,7 +380,7 @@
 	self := n.self
 	n.journal.Write(event.EntryChanged, logrus.Fields{
 		"state": self.State.String(), "server": self.Instance, "slots": self.Slots,
-		"stopping": self.Stopping, "revision": self.Revision,
+		"ending": self.Ending, "stopping": self.Stopping, "revision": self.Revision,
 	})
 	go func() {
 		for _, l := range n.mesh.Links() {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -95,7 +95,7 @@
 	rewriteEntry atomic.Bool   // the platform log may have lost the local entry
 
 	exiting       chan struct{} // closed when a stopping node exits
-	unsentAnswers atomic.Int64  // answers of ended executions that have not been passed on
+	unsentAnswers atomic.Int64  // answers to offers that have not been passed on
 
 	mu                 sync.Mutex
 	rawConfiguration   []byte // encoded configuration in force
@@ -131,12 +131,16 @@
 	expiryScheduled    bool
 	queueCheckedAt     time.Time // if expiryScheduled, when the queue was last checked
 	resumedAt          time.Time // end of the interval that follows a pause of the process
+	// A node that stops goes through these states: ending (in its entry, with
+	// stopping here) from the signal on, while it takes offers; Stopping in its entry,
+	// when it takes none; exitDecided, when it takes nothing at all; exiting, when it
+	// ends what is open.
 	stopping           bool
 	stoppedAt          time.Time           // if stopping, time of the signal
 	admissionEnd       time.Time           // if stopping, time from which new requests are refused
 	exitDeadline       time.Time           // if stopping, time of the exit
 	stopAnnouncedAt    time.Time           // when the other nodes were told to send no more offers
-	endingNodes        map[string]struct{} // nodes that will exit within their grace period, but take offers
+	endingNodes        map[string]struct{} // nodes whose entry says Ending
 	exitDecided        bool                // nothing is taken any more
 	logUnreadable      bool
 	logGeneration      uint64 // highest generation of the platform log heard of
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -76,9 +76,13 @@
 func (n *Node) openOffer(now time.Time, req *request) (uint64, *pending, outcome.Reason) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	wait := n.boundBeforeExit(req.deadline.Add(-deadlineMargin)).Sub(now)
-	if wait <= 0 {
+	due := req.deadline.Add(-deadlineMargin)
+	wait := n.boundBeforeExit(due).Sub(now)
+	switch {
+	case !due.After(now):
 		return 0, nil, outcome.Expired
+	case wait <= 0:
+		return 0, nil, outcome.Draining
 	}
 	node := n.chooseNode(now, req)
 	switch {
@@ -233,15 +237,17 @@
 	return n.endUnanswered(req, reason), true
 }
 
-// endedEarly reports whether a server gave up a request at its deadline though the
-// request has time left: its node was stopping, and left it less.
+// endedEarly reports whether a server gave up a request at its deadline though there is
+// time for another answer, as a server does whose node is stopping.
 func (n *Node) endedEarly(req *request, a *frame.Answer) bool {
-	return a.Status == fasthttp.StatusGatewayTimeout && time.Until(req.deadline) > earlyEndTime
+	if a.Status != fasthttp.StatusGatewayTimeout {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return time.Until(n.boundBeforeExit(req.deadline)) > minAnswerTime
 }
 
-// earlyEndTime is the time left from which a deadline counts as an early one.
-const earlyEndTime = 100 * time.Millisecond
-
 // mayRetry reports whether a request that reached a backend server may be sent to
 // another one, and charges the retry to the retry budgets.
 func (n *Node) mayRetry(req *request, a *frame.Answer) bool {
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -16,7 +16,8 @@
 
 // dequeueRunnable removes the queued executions that can run now from the queue
 // and returns them. After a pause of the process there are none until the next check
-// of the queue, so that withdrawals which arrived meanwhile are read first.
+// of the queue, so that withdrawals which arrived meanwhile are read first. There are
+// none shortly before a stopping node exits.
 func (n *Node) dequeueRunnable(now time.Time) []*execution {
 	if n.isResuming(now) || n.stopping && !now.Before(n.runsEnd()) {
 		return nil
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -13,7 +13,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	e, ok := n.registry.Get(p.node)
-	return run{node: p.node, age: now.Sub(p.sentAt), decider: decider, stopping: ok && e.Stopping}
+	return run{node: p.node, age: now.Sub(p.sentAt), decider: decider, stopping: ok && (e.Ending || e.Stopping)}
 }
 
 // recordOpenRun records that an open offer of a request ends without an answer. The
