Show that a slow route refuses calls of others

A caller got 503, not run, expired, 3 ms after GET /faces had arrived, in 1 of 16 trial runs of TestRequestsAtEveryNode with the race detector. The call before it, GET /proofs, had taken 0.8 s.

The dispatcher refuses a call when the shortest answer time of the service is longer than the call has left, and does not tell routes apart.

--- /dev/null
+++ b/pkg/dispatcher/fastest_test.go
@@ -0,0 +1,24 @@
+package dispatcher_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/papayapath/papayapath/pkg/contract"
+	"github.com/papayapath/papayapath/pkg/dispatcher"
+	"github.com/papayapath/papayapath/pkg/importance"
+	"github.com/papayapath/papayapath/pkg/outcome"
+)
+
+// Guards against a call that is refused as expired because the one answer of the last
+// second is that of a slower route with a longer deadline (TestRequestsAtEveryNode).
+func TestSlowRouteRefusesNoOther(t *testing.T) {
+	slow := contract.WithClass(contract.NewClass("faces", "GET", "/slow", importance.Normal, true, 2*deadline))
+	f := newFixture(t, 3, dispatcher.WithContracts(terms(slow)))
+	request := get("")
+	request.Path = "/slow"
+	out := f.offered(f.arrive(request))
+	f.now = f.now.Add(deadline + 100*time.Millisecond)
+	f.ended(outcome.Complete, outcome.None, f.complete(out)...)
+	f.offered(f.arrive(get("")))
+}
