Bound what is discarded of a client, and the time in which it reads answers

Two faults of one reader, found by one test.

Callers see: a client that goes on sending after its request was refused or malformed takes a processor of the node meanwhile. One that sends requests and reads no answer keeps a connection, and a request that counts as active, for good; by the code (not run) a stopping node waits for that.

Cause: what follows a refused or malformed request was discarded for 10 or 0.5 s, at any rate. Answers of up to 8 KiB were written without a deadline, on the ground that they don't block. They do behind others that the client has not read.

Evidence: TestRequestWithoutEnd failed before at 32 of 36 places: 1.1 to 1.7 GB discarded in 0.5 s after malformed requests, up to 12.9 GB in 4 s, and going on, after those refused for lack of memory; with answers unread the connection was open after 4 s at a time-out of 1 s. Now 12 MB at most, 1.35 s there and 0.3 s elsewhere.

Discarded is now what a request may have at most: a header section and twice the largest body. Each answer has a write deadline, which is set anew only when it comes close, so that it costs no timer for each.

The decoder of chunks parses sizes without a conversion to a string, which costs an allocation for each chunk under the race detector.

--- a/internal/framing/chunks.go
+++ b/internal/framing/chunks.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"errors"
 	"io"
-	"strconv"
 )
 
 const (
@@ -62,20 +61,41 @@
 	line, ok := bytes.CutSuffix(line, lineEnd)
 	size, _, _ := bytes.Cut(line, []byte{';'})
 	size = bytes.TrimRight(size, " \t")
-	if !ok || bytes.IndexByte(line, '\r') >= 0 || len(size) > maxSizeDigits {
+	if !ok || bytes.IndexByte(line, '\r') >= 0 {
 		return &Error{reason: "has a malformed chunk line"}
 	}
-	n, err := strconv.ParseUint(string(size), 16, 63)
-	if err != nil {
+	n, ok := parseSize(size)
+	if !ok {
 		return &Error{reason: "has a malformed chunk line"}
 	}
 	if n == 0 {
 		return io.EOF
 	}
-	c.unread = int64(n)
+	c.unread = n
 	return nil
 }
 
+// parseSize parses the size of a chunk.
+func parseSize(digits []byte) (size int64, ok bool) {
+	if len(digits) == 0 || len(digits) > maxSizeDigits {
+		return 0, false
+	}
+	for _, d := range digits {
+		switch {
+		case d >= '0' && d <= '9':
+			d -= '0'
+		case d >= 'a' && d <= 'f':
+			d -= 'a' - 10
+		case d >= 'A' && d <= 'F':
+			d -= 'A' - 10
+		default:
+			return 0, false
+		}
+		size = size<<4 | int64(d)
+	}
+	return size, true
+}
+
 // end reads the line end that follows the content of a chunk.
 func (c *chunkReader) end() error {
 	if _, err := io.ReadFull(c.r, c.buffer[:]); err != nil {
--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -32,9 +32,6 @@
 	// deadlineSlackDivisor gives the slack of a read deadline as a fraction of
 	// the time-out.
 	deadlineSlackDivisor = 3
-	// maxInlineWrite is the size up to which the send buffer of a connection
-	// without other unsent bytes takes a response without blocking.
-	maxInlineWrite = 8 << 10
 	// lingerTimeout bounds the wait for a client to close its connection after
 	// the response to a malformed request.
 	lingerTimeout = 500 * time.Millisecond
@@ -54,7 +51,8 @@
 	reader *bufio.Reader // of source
 	claim  *memory.Claim // for the connection and its buffer
 
-	readDeadline time.Time
+	readDeadline  time.Time
+	writeDeadline time.Time
 
 	mu        sync.Mutex
 	active    bool // a request is being received or handled
@@ -213,11 +211,14 @@
 	return false
 }
 
-// linger discards what the client still sends, for at most d. Closing with unread
-// bytes would reset the connection before the client has read the response.
+// linger discards what the client still sends, for at most d, and no more than the
+// header section and the body of a request may take, with as many bytes in lines of
+// chunks. Closing with unread bytes would reset the connection before the client has
+// read the response.
 func (c *client) linger(d time.Duration) {
 	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil && c.conn.SetReadDeadline(time.Now().Add(d)) == nil {
-		io.Copy(io.Discard, c.conn) //nolint:errcheck // only waits for the client to close
+		limits := c.server.handler.Limits()
+		io.CopyN(io.Discard, c.conn, int64(limits.HeaderBytes+2*limits.BodyBytes)) //nolint:errcheck // only waits for the client to close
 	}
 }
 
@@ -401,17 +402,28 @@
 		}
 	}
 	buf.B = b
-	if len(b) <= maxInlineWrite && segments == nil {
+	if !c.extendWriteDeadline(time.Now()) {
+		return false
+	}
+	if segments == nil {
 		_, err := c.conn.Write(b)
 		return err == nil
 	}
-	if c.conn.SetWriteDeadline(time.Now().Add(c.server.writeTimeout)) != nil {
-		return false
-	}
 	buffers := append(net.Buffers{b}, segments...)
 	_, err := buffers.WriteTo(c.conn)
-	// The deadline would apply to later responses on the connection.
-	return err == nil && c.conn.SetWriteDeadline(time.Time{}) == nil
+	return err == nil
+}
+
+// extendWriteDeadline gives the client at least the write time-out from now to read a
+// response. A small one can block as well, behind those that a client has not read. A
+// deadline that is slightly later is left unchanged, as in extendReadDeadline.
+func (c *client) extendWriteDeadline(now time.Time) bool {
+	d := c.server.writeTimeout
+	if c.writeDeadline.Sub(now) >= d {
+		return true
+	}
+	c.writeDeadline = now.Add(d + d/deadlineSlackDivisor)
+	return c.conn.SetWriteDeadline(c.writeDeadline) == nil
 }
 
 // bodyAllowed reports whether responses with a status have a body.
--- a/internal/lab/endless/requests.go
+++ b/internal/lab/endless/requests.go
@@ -1,13 +1,16 @@
 package endless
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
 // Requests returns streams that begin as a request, by the place at which they go on
-// without end. start is a method and a path.
-func Requests(start string) map[string]Stream {
+// without end. start is a method and a path, and body that of complete requests.
+func Requests(start, body string) map[string]Stream {
 	head := start + " HTTP/1.1\r\nHost: a\r\n"
 	chunks := head + "Transfer-Encoding: chunked\r\n\r\n"
-	complete := head + "Content-Length: 2\r\n\r\n{}"
+	complete := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
 	return map[string]Stream{
 		"empty lines before a request":      New("", "\r\n"),
 		"bytes before a request":            New("", "\x00\xff"),
