--- a/internal/lab/endless/stream.go
+++ b/internal/lab/endless/stream.go
@@ -46,7 +46,10 @@
 		return true
 	}
 	if s.write(c, []byte(s.first), sent) {
-		piece := bytes.Repeat([]byte(s.repeat), max(1, pieceSize/max(1, len(s.repeat))))
+		piece := []byte(s.repeat)
+		if n := len(piece); n > 0 && n < pieceSize/2 {
+			piece = bytes.Repeat(piece, pieceSize/n)
+		}
 		for s.write(c, piece, sent) {
 		}
 	}
