Tell a closed connection by the error of the write

A write that fails other than by its deadline tells it without a wait; one that reaches the deadline still counts as open.

--- a/internal/lab/endless/stream.go
+++ b/internal/lab/endless/stream.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -45,19 +47,19 @@
 	if c.SetWriteDeadline(time.Now().Add(limit)) != nil {
 		return true
 	}
-	if s.write(c, []byte(s.first), sent) {
-		piece := []byte(s.repeat)
-		if n := len(piece); n > 0 && n < pieceSize/2 {
-			piece = bytes.Repeat(piece, pieceSize/n)
-		}
-		for s.write(c, piece, sent) {
-		}
+	err := s.write(c, []byte(s.first), sent)
+	piece := []byte(s.repeat)
+	if n := len(piece); n > 0 && n < pieceSize/2 {
+		piece = bytes.Repeat(piece, pieceSize/n)
 	}
-	return c.SetWriteDeadline(time.Now().Add(time.Second)) != nil || !isOpen(c)
+	for err == nil {
+		err = s.write(c, piece, sent)
+	}
+	return !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// write writes data and reports whether all of it was written.
-func (s Stream) write(c net.Conn, data []byte, sent *atomic.Int64) bool {
+// write writes data.
+func (s Stream) write(c net.Conn, data []byte, sent *atomic.Int64) error {
 	size := len(data)
 	if s.isTrickle {
 		size = 1
@@ -66,23 +68,9 @@
 		n, err := c.Write(data[:min(size, len(data))])
 		sent.Add(int64(n))
 		if err != nil {
-			return false
+			return err
 		}
 		data = data[n:]
 	}
-	return true
-}
-
-// isOpen reports whether the other end has not closed c.
-func isOpen(c net.Conn) bool {
-	if c.SetReadDeadline(time.Now().Add(10*time.Millisecond)) != nil {
-		return false
-	}
-	buffer := make([]byte, 4<<10)
-	for {
-		if _, err := c.Read(buffer); err != nil {
-			e, ok := err.(net.Error)
-			return ok && e.Timeout()
-		}
-	}
+	return nil
 }
