Log malformed requests of the small listeners as events

Cause: the HTTP library's own logger was in use there.

Change: these failures are event 650, sampled and at most 256 bytes each. The listeners move to a file of their own.

Evidence: TestMalformedReadinessCheckIsLoggedAsEvent finds the line on standard error before, and none now.

--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -47,20 +47,6 @@
 	// stopping node exits even with open requests. It covers lastAnswersTime, twice
 	// lastFramesTime, and the process exit itself with the last log lines.
 	exitMargin = 600 * time.Millisecond
-	// maxAuxiliaryBody and maxAuxiliaryConnections bound the memory of a listener
-	// for heartbeats, readiness checks or metrics to 4 MiB.
-	maxAuxiliaryBody        = 64 << 10
-	maxAuxiliaryConnections = 64
-	// maxAuxiliaryRequest bounds all that is read of such a request: its header
-	// section, its body, and the lines and trailer of chunks.
-	maxAuxiliaryRequest = 256 << 10
-	// maxAuxiliaryRequests is the number of requests of a connection. A sender that
-	// never pauses has to connect again.
-	maxAuxiliaryRequests = 1000
-	// auxiliaryReadTimeout bounds the time in which such a request arrives, and
-	// auxiliaryWriteTimeout that in which its answer is read.
-	auxiliaryReadTimeout  = 10 * time.Second
-	auxiliaryWriteTimeout = 2 * time.Second
 	// stopPollInterval is how often a stopping node checks whether it may exit.
 	stopPollInterval = 25 * time.Millisecond
 )
@@ -103,9 +89,9 @@
 		serve           func(net.Listener) error
 	}{
 		{n.env.PeerAddr.String(), true, n.mesh.Accept},
-		{n.env.HeartbeatAddr.String(), false, serveAuxiliary(n.serveControl)},
-		{n.env.ReadinessAddr.String(), false, serveAuxiliary(n.serveReadiness)},
-		{metricsAddress(n.env.PeerAddr.Addr().String()), false, serveAuxiliary(n.metrics)},
+		{n.env.HeartbeatAddr.String(), false, n.serveAuxiliary(n.serveControl)},
+		{n.env.ReadinessAddr.String(), false, n.serveAuxiliary(n.serveReadiness)},
+		{metricsAddress(n.env.PeerAddr.Addr().String()), false, n.serveAuxiliary(n.metrics)},
 		{n.env.CallerAddr.String(), false, n.clients.Serve},
 	} {
 		ln, err := socket.Listen(ctx, s.address, s.detectDeadPeers)
@@ -130,24 +116,6 @@
 	return listeners, nil
 }
 
-// serveAuxiliary returns a function that serves infrequent requests with small buffers.
-func serveAuxiliary(h fasthttp.RequestHandler) func(net.Listener) error {
-	server := &fasthttp.Server{
-		Handler:               h,
-		ReadBufferSize:        2048,
-		WriteBufferSize:       1024,
-		NoDefaultServerHeader: true,
-		NoDefaultDate:         true,
-		MaxRequestBodySize:    maxAuxiliaryBody,
-		Concurrency:           maxAuxiliaryConnections,
-		MaxRequestsPerConn:    maxAuxiliaryRequests,
-		ReadTimeout:           auxiliaryReadTimeout,
-		WriteTimeout:          auxiliaryWriteTimeout,
-		IdleTimeout:           time.Minute,
-	}
-	return func(ln net.Listener) error { return server.Serve(socket.Bounded(ln, maxAuxiliaryRequest)) }
-}
-
 // serveReadiness handles the platform's readiness check.
 func (n *Node) serveReadiness(ctx *fasthttp.RequestCtx) {
 	n.mu.Lock()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -135,16 +135,16 @@
 	// stopping here) from the signal on, while it takes offers; Stopping in its entry,
 	// when it takes none; exitDecided, when it takes nothing at all; exiting, when it
 	// ends what is open.
-	stopping           bool
-	stoppedAt          time.Time           // if stopping, time of the signal
-	admissionEnd       time.Time           // if stopping, time from which new requests are refused
-	exitDeadline       time.Time           // if stopping, time of the exit
-	stopAnnouncedAt    time.Time           // when the other nodes were told to send no more offers
-	endingNodes        map[string]struct{} // nodes whose entry says Ending
-	exitDecided        bool                // nothing is taken any more
-	logUnreadable      bool
-	logGeneration      uint64 // highest generation of the platform log heard of
-	entryChanged       chan struct{}
+	stopping        bool
+	stoppedAt       time.Time           // if stopping, time of the signal
+	admissionEnd    time.Time           // if stopping, time from which new requests are refused
+	exitDeadline    time.Time           // if stopping, time of the exit
+	stopAnnouncedAt time.Time           // when the other nodes were told to send no more offers
+	endingNodes     map[string]struct{} // nodes whose entry says Ending
+	exitDecided     bool                // nothing is taken any more
+	logUnreadable   bool
+	logGeneration   uint64 // highest generation of the platform log heard of
+	entryChanged    chan struct{}
 }
 
 // New returns a node that has not been started. It holds what others send within b.
