Let a restarted node keep the calls of withdrawn runs as a stopping one does

Cause: to a caller, stop and start are one restart of the node. The new process does not know of the signal of the one before it.

Change: nodes return the entry of a stopped node to the process that replaces it, as they do for a server that leaves. That process lets running calls go on for the grace period and a second after its start.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -311,14 +311,15 @@
 	}
 }
 
-// replacedLeaving returns the known entries with a leaving backend server that are
-// replaced by those of restarted nodes. For an entry with a ready server that is
-// known to leave, it returns that entry with the state draining.
+// replacedLeaving returns the known entries of stopped nodes, or with a leaving backend
+// server, that are replaced by those of restarted nodes. For an entry with a ready
+// server that is known to leave, it returns that entry with the state draining.
 func (n *Node) replacedLeaving(entries []registry.Entry) []registry.Entry {
 	var leaving []registry.Entry
 	for _, e := range entries {
 		old, ok := n.registry.Get(e.Node)
-		if ok && old.State == readiness.Draining && e.State != readiness.Draining && e.Incarnation > old.Incarnation {
+		leaves := old.State == readiness.Draining && e.State != readiness.Draining
+		if ok && e.Incarnation > old.Incarnation && (leaves || old.Ending) {
 			leaving = append(leaving, old)
 			continue
 		}
@@ -365,6 +366,8 @@
 	if e.State == readiness.Draining {
 		n.readiness.MarkLeaving(readiness.Incarnation{ID: e.Instance, Born: e.Born})
 	}
+	// The callers of a process that was stopped see a single restart.
+	n.replacesStopped = n.replacesStopped || e.Ending && e.Incarnation < n.self.Incarnation
 	if !e.Newer(n.self) {
 		return
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -136,6 +136,7 @@
 	// when it takes none; exitDecided, when it takes nothing at all; exiting, when it
 	// ends what is open.
 	stopping        bool
+	replacesStopped bool                // the process before this one was stopped
 	stoppedAt       time.Time           // if stopping, time of the signal
 	admissionEnd    time.Time           // if stopping, time from which new requests are refused
 	exitDeadline    time.Time           // if stopping, time of the exit
--- a/internal/sidecar/withdrawal.go
+++ b/internal/sidecar/withdrawal.go
@@ -31,15 +31,18 @@
 // run, and with it the call. Two calls below each other wait for it in turn.
 const callerCloseTime = 200 * time.Millisecond
 
+// restartSlack is how much longer than the grace period a restart takes.
+const restartSlack = time.Second
+
 // withdrawCall ends a nested call whose parent execution was withdrawn, and whose
 // caller has not closed its connection since. It returns false if the call goes on: it
-// may be running, and must not be repeated, or this node is stopping. A caller that
-// stays can then rely on the answer of a server that is at work.
+// may be running, and must not be repeated, or this node is stopping or has been
+// restarted. A caller that stays can then rely on the answer of a server that is at work.
 func (n *Node) withdrawCall(req *request) (ingress.Response, bool) {
 	n.mu.Lock()
-	stopping := n.stopping
+	restarts := n.stopping || n.replacesStopped && time.Since(n.started) < n.env.GracePeriod+restartSlack
 	n.mu.Unlock()
-	if len(req.openOffers) > 0 && (stopping || !req.route.Repeatable()) {
+	if len(req.openOffers) > 0 && (restarts || !req.route.Repeatable()) {
 		return ingress.Response{}, false
 	}
 	n.stats.unwantedCalls.Inc(1)
