Move the decisions of a stop, and what is logged of a run, to files of their own

Cause: lifecycle.go held start, listeners and stop; the time was read inside two deciding functions; whether a link was lost was guessed from the mesh. Change: stop.go has the stop, unanswered.go the log fields; the time is an argument; the result of an offer says that its link was lost. No decision changes.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -89,7 +89,7 @@
 	for id, p := range unanswered {
 		// The answer may have been in transit, so the request may have run.
 		p.request.results <- offerResult{
-			answer: frame.Answer{ID: id, Outcome: outcome.Unknown, Reason: outcome.Broken, Sent: true}, pending: p,
+			answer: frame.Answer{ID: id, Outcome: outcome.Unknown, Reason: outcome.Broken, Sent: true}, pending: p, linkLost: true,
 		}
 	}
 }
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -31,9 +31,10 @@
 
 // offerResult is the answer to an offer, with the response body.
 type offerResult struct {
-	answer  frame.Answer
-	body    *payload.Body
-	pending *pending // what it answers
+	answer   frame.Answer
+	body     *payload.Body
+	pending  *pending // what it answers
+	linkLost bool     // it stands for the answer that was due when the link ended
 }
 
 // pending is an offer that has not been answered.
@@ -199,18 +200,19 @@
 
 // handleResult returns the response that follows from the result of an offer. It
 // returns false if another offer of the request is open or has been sent.
-func (n *Node) handleResult(req *request, r *offerResult) (ingress.Response, bool) {
+func (n *Node) handleResult(now time.Time, req *request, r *offerResult) (ingress.Response, bool) {
 	a := &r.answer
 	if a.Sent {
 		req.serverAttempts++
 	}
 	if a.Sent && a.Outcome == outcome.Unknown {
-		req.unknownOutcome, req.lastRun = true, n.runOf(time.Now(), r.pending, "answer")
-		if a.Reason == outcome.Broken && r.pending.link != nil && n.mesh.Link(r.pending.node) != r.pending.link {
-			req.lastRun.decider = "link"
+		decider := "answer"
+		if r.linkLost {
+			decider = "link"
 		}
+		req.unknownOutcome, req.lastRun = true, n.runOf(now, r.pending, decider)
 	}
-	failed := a.Outcome == outcome.Complete && (a.Status == fasthttp.StatusInternalServerError || n.endedEarly(req, a))
+	failed := a.Outcome == outcome.Complete && (a.Status == fasthttp.StatusInternalServerError || n.endedEarly(now, req, a))
 	switch {
 	case a.Outcome == outcome.Complete && !failed:
 		n.stats.observeLatency(time.Since(req.arrival))
@@ -239,13 +241,13 @@
 
 // endedEarly reports whether a server gave up a request at its deadline though there is
 // time for another answer, as a server does whose node is stopping.
-func (n *Node) endedEarly(req *request, a *frame.Answer) bool {
+func (n *Node) endedEarly(now time.Time, req *request, a *frame.Answer) bool {
 	if a.Status != fasthttp.StatusGatewayTimeout {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return time.Until(n.boundBeforeExit(req.deadline)) > minAnswerTime
+	return n.boundBeforeExit(req.deadline).Sub(now) > minAnswerTime
 }
 
 // mayRetry reports whether a request that reached a backend server may be sent to
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -51,14 +51,6 @@
 	lastRun         run // of the latest offer that ended without the answer of a server
 }
 
-// run is an offer at which a backend server may have been at work when it ended.
-type run struct {
-	node     string        // node beside the server
-	age      time.Duration // since the offer was sent
-	decider  string        // what ended it
-	stopping bool          // the node had announced that it stops
-}
-
 // windowState is the state of a window for the log.
 type windowState struct {
 	size, inFlight int
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -6,31 +6,184 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/pkg/latency"
+	"github.com/papayapath/papayapath/pkg/outcome"
 )
 
-// runOf describes an offer that has ended at now. decider tells what ended it.
-func (n *Node) runOf(now time.Time, p *pending, decider string) run {
+const (
+	// clientDrainTime is how long a stopping node keeps admitting requests.
+	// Clients are routed to other nodes after two failed readiness checks, one
+	// second apart.
+	clientDrainTime = 2500 * time.Millisecond
+	// A stopping node rejects offers of other nodes near the end of the grace
+	// period, so that accepted ones can finish. The cutoff lies queueDrainTime,
+	// which covers the queue under overload, plus drainRunTimes mean run times
+	// before the exit, but not earlier than minOfferTime after the stop signal.
+	queueDrainTime = 400 * time.Millisecond
+	drainRunTimes  = 8
+	minOfferTime   = 1500 * time.Millisecond
+	// minAnswerTime is the least time that a stopping node reckons with for an
+	// answer.
+	minAnswerTime = 400 * time.Millisecond
+	// answerSlack is the part by which an answer may take longer than all recent ones.
+	answerSlack = 0.25
+	// lastRunsTime is the time before the exit at which the last runs end. It covers
+	// the way of their answers.
+	lastRunsTime = 150 * time.Millisecond
+	// lastAnswersTime bounds the time in which the answers to the requests that are
+	// open at the exit are written.
+	lastAnswersTime = 200 * time.Millisecond
+	// lastFramesTime bounds the time in which the other nodes read the last answers.
+	lastFramesTime = 50 * time.Millisecond
+	// offerPropagationTime bounds the time until offers that were sent before
+	// the other nodes learned of the stop have arrived. It is several times the
+	// latency between failure domains.
+	offerPropagationTime = 100 * time.Millisecond
+	// exitMargin is the time before the end of the grace period at which a
+	// stopping node exits even with open requests. It covers lastAnswersTime, twice
+	// lastFramesTime, and the process exit itself with the last log lines.
+	exitMargin = 600 * time.Millisecond
+	// stopPollInterval is how often a stopping node checks whether it may exit.
+	stopPollInterval = 25 * time.Millisecond
+)
+
+// drain stops the node gracefully. While client requests are in progress, the
+// local backend server keeps accepting offers of other nodes: a service with few
+// backend servers needs its capacity, and the open requests themselves may depend
+// on it.
+func (n *Node) drain() {
+	start := time.Now()
+	n.mu.Lock()
+	n.stopping, n.stoppedAt = true, start
+	n.admissionEnd = start.Add(clientDrainTime)
+	exitDeadline := start.Add(n.env.GracePeriod - exitMargin)
+	n.exitDeadline = exitDeadline
+	n.self.Ending = true
+	n.announceEntry(start)
+	n.mu.Unlock()
+	n.journal.Write(event.NodeStopping, logrus.Fields{"grace_ms": n.env.GracePeriod.Milliseconds(), "requests": n.clients.ActiveRequests()})
+	n.clients.DisableKeepAlives()
+	for {
+		time.Sleep(stopPollInterval)
+		now := time.Now()
+		n.mu.Lock()
+		offersEnd := exitDeadline.Add(-queueDrainTime - drainRunTimes*n.runner.MeanServiceTime())
+		n.mu.Unlock()
+		elapsed := now.Sub(start)
+		if elapsed > clientDrainTime && n.clients.ActiveRequests() == 0 || elapsed > minOfferTime && now.After(offersEnd) {
+			n.announceStopping(now)
+		}
+		if !now.Before(exitDeadline.Add(-lastRunsTime)) {
+			n.refuseQueued(now)
+		}
+		if n.decideExit(now) {
+			n.logCutRuns(now)
+			n.answerOpenRequests()
+			n.clients.CloseIdle()
+			n.mesh.Shutdown(exitDeadline, lastFramesTime)
+			return
+		}
+	}
+}
+
+// decideExit reports whether a stopping node exits now: nothing is open, or its time has
+// passed. From then on it takes nothing.
+func (n *Node) decideExit(now time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	e, ok := n.registry.Get(p.node)
-	return run{node: p.node, age: now.Sub(p.sentAt), decider: decider, stopping: ok && (e.Ending || e.Stopping)}
+	isIdle := n.offersDrained(now) && len(n.executions) == 0 && n.unsentAnswers.Load() == 0 && n.clients.ActiveRequests() == 0
+	n.exitDecided = isIdle || now.After(n.exitDeadline)
+	return n.exitDecided
 }
 
-// recordOpenRun records that an open offer of a request ends without an answer. The
-// backend server may be at work on the request.
-func (n *Node) recordOpenRun(req *request, decider string) {
-	if len(req.openOffers) == 0 {
-		return
-	}
-	req.unknownOutcome = true
+// refuseQueued refuses the requests that wait in the queue, or for their sender to
+// confirm them, as not run.
+func (n *Node) refuseQueued(now time.Time) {
 	n.mu.Lock()
-	p := n.pending[req.openOffers[0]]
+	var waiting []*execution
+	for _, t := range n.runner.Flush(nil) {
+		waiting = append(waiting, t.Value)
+	}
+	for l, c := range n.confirmations {
+		waiting = append(waiting, c.held...)
+		delete(n.confirmations, l)
+	}
+	var replies []reply
+	for _, ex := range waiting {
+		if !ex.canceled {
+			delete(n.executions, ex.key)
+			replies = append(replies, n.refuseOffer(now, ex, outcome.Draining))
+		}
+	}
 	n.mu.Unlock()
-	if p != nil {
-		req.lastRun = n.runOf(time.Now(), p, decider)
+	// A link may be slow; the exit does not wait for it here.
+	go n.reply(replies...)
+}
+
+// answerOpenRequests ends the requests that are open when a stopping node exits, so
+// that none is cut without an answer.
+func (n *Node) answerOpenRequests() {
+	close(n.exiting)
+	for end := time.Now().Add(lastAnswersTime); n.clients.ActiveRequests() > 0 && time.Now().Before(end); {
+		time.Sleep(stopPollInterval)
+	}
+}
+
+// answersBeforeExit reports whether a stopping node can expect to answer a request
+// before it exits: its answer is due by then, or it takes no longer than the given time.
+func (n *Node) answersBeforeExit(now, due time.Time, need time.Duration) bool {
+	if !n.stopping || !due.After(n.runsEnd()) {
+		return true
+	}
+	return !now.Add(max(minAnswerTime, need)).After(n.runsEnd())
+}
+
+// runsEnd returns the time by which the runs end that a stopping node has a part in.
+func (n *Node) runsEnd() time.Time { return n.exitDeadline.Add(-lastRunsTime) }
+
+// boundBeforeExit bounds the time until which a server may work, so that it ends a run
+// itself before this node exits. Otherwise the exit would cut the run, and its answer
+// would not reach the client.
+func (n *Node) boundBeforeExit(due time.Time) time.Time {
+	if n.stopping && due.After(n.runsEnd()) {
+		return n.runsEnd()
+	}
+	return due
+}
+
+// longestAnswer returns the time that an answer may take, given those of the past. It
+// is 0 if there are none.
+func longestAnswer(e *latency.Estimator) time.Duration {
+	if e == nil {
+		return 0
+	}
+	return time.Duration((1 + answerSlack) * float64(e.Tail()))
+}
+
+// likelyAnswer returns the time that few answers exceed, 0 if it is not known.
+func likelyAnswer(e *latency.Estimator) time.Duration {
+	if e == nil {
+		return 0
+	}
+	return e.OverdueAfter()
+}
+
+// announceStopping announces once that this node accepts no more offers.
+func (n *Node) announceStopping(now time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.self.Stopping {
+		n.self.Stopping, n.stopAnnouncedAt = true, now
+		n.announceEntry(now)
 	}
 }
 
+// offersDrained reports whether the stop has been announced and offers in transit
+// at that time have had time to arrive. The caller must hold n.mu.
+func (n *Node) offersDrained(now time.Time) bool {
+	return n.self.Stopping && now.Sub(n.stopAnnouncedAt) > offerPropagationTime
+}
+
 // stoppingTime returns the time since the signal to stop, or 0 without one. The caller
 // must hold n.mu.
 func (n *Node) stoppingTime(now time.Time) time.Duration {
@@ -40,20 +193,6 @@
 	return now.Sub(n.stoppedAt)
 }
 
-// unansweredFields returns the log fields of a request that ends without the answer of
-// a server. They tell where it ran, for how long, who ended it, and how long this node
-// has been stopping by then.
-func (n *Node) unansweredFields(req *request) logrus.Fields {
-	f := req.logFields()
-	n.mu.Lock()
-	f["stopping_ms"] = n.stoppingTime(time.Now()).Milliseconds()
-	n.mu.Unlock()
-	if r := req.lastRun; r.node != "" {
-		f["at"], f["run_ms"], f["decider"], f["leaving"] = r.node, r.age.Milliseconds(), r.decider, r.stopping
-	}
-	return f
-}
-
 // logCutRuns logs the runs that a stopping node cuts when it exits.
 func (n *Node) logCutRuns(now time.Time) {
 	n.mu.Lock()
--- a/internal/sidecar/withdrawal.go
+++ b/internal/sidecar/withdrawal.go
@@ -38,9 +38,9 @@
 // caller has not closed its connection since. It returns false if the call goes on: it
 // may be running, and must not be repeated, or this node is stopping or has been
 // restarted. A caller that stays can then rely on the answer of a server that is at work.
-func (n *Node) withdrawCall(req *request) (ingress.Response, bool) {
+func (n *Node) withdrawCall(now time.Time, req *request) (ingress.Response, bool) {
 	n.mu.Lock()
-	restarts := n.stopping || n.replacesStopped && time.Since(n.started) < n.env.GracePeriod+restartSlack
+	restarts := n.stopping || n.replacesStopped && now.Sub(n.started) < n.env.GracePeriod+restartSlack
 	n.mu.Unlock()
 	if len(req.openOffers) > 0 && (restarts || !req.route.Repeatable()) {
 		return ingress.Response{}, false
