Reserve ports for scripts outside the range of outgoing connections

The kernel gives such ports to outgoing connections, and the tests make many. Change: ports below that range, checked to be free as before.

--- a/internal/command/main_test.go
+++ b/internal/command/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"testing"
@@ -34,17 +35,24 @@
 }
 
 // reservePorts finds ports that are free, so that two runs of the tests at
-// the same time do not meet.
+// the same time do not meet. They lie below those that the operating system gives to
+// outgoing connections, one of which could take a port before the script does.
 func reservePorts(e *testscript.Env) error {
-	for i := range ports {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	const lowest, highest, attempts = 12_000, 32_000, 100
+	found := 0
+	for range attempts {
+		port := lowest + rand.IntN(highest-lowest)
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
 		if err != nil {
-			return err
+			continue
 		}
 		defer func() { _ = listener.Close() }()
-		e.Setenv(fmt.Sprintf("PORT%d", i), fmt.Sprint(listener.Addr().(*net.TCPAddr).Port))
+		e.Setenv(fmt.Sprintf("PORT%d", found), fmt.Sprint(port))
+		if found++; found == ports {
+			return nil
+		}
 	}
-	return nil
+	return fmt.Errorf("only %d of %d ports are free", found, ports)
 }
 
 // expand replaces variables of the environment in a file.
