--- a/internal/peer/endless_test.go
+++ b/internal/peer/endless_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"os"
 	"runtime"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -80,6 +81,8 @@
 		closeTime   = 2 * time.Second
 		memoryLimit = budget + 16<<20
 	)
+	// The garbage collector runs as often as in a node.
+	defer debug.SetGCPercent(debug.SetGCPercent(50))
 	for name, c := range map[string]struct {
 		stream endless.Stream
 		closes bool
