Give back the memory of a refused body at once

Callers saw: several large bodies sent at the same time were all refused for lack of memory, although one would have fitted.

Cause: a claim that is refused keeps its part of the budget until its reader has returned. Bodies of the same size cannot revoke each other, so those that grow in between are refused as well.

Change: Claim.GrowOrRelease takes back a refused claim under the lock of the refusal, and bodies grow by it. TestRefusedMessageMakesRoom guards the order; Grow alone refuses its second claim.

--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -144,7 +144,14 @@
 
 // Grow adds n bytes to the claim. It returns an *ExhaustedError if the budget has
 // no room for them, or if the claim has been revoked.
-func (c *Claim) Grow(n int) error {
+func (c *Claim) Grow(n int) error { return c.grow(n, false) }
+
+// GrowOrRelease is Grow for content that is useless without the n bytes. A refused
+// claim holds nothing from then on. Of several that grow at the same time, the next
+// finds the room of the one that was refused.
+func (c *Claim) GrowOrRelease(n int) error { return c.grow(n, true) }
+
+func (c *Claim) grow(n int, orRelease bool) error {
 	if c == nil {
 		return nil
 	}
@@ -167,6 +174,10 @@
 		a.add(int64(n))
 	} else if !a.revoked {
 		b.refused++
+		if orRelease {
+			delete(b.arriving, a)
+			a.add(-a.size)
+		}
 	}
 	b.mu.Unlock()
 	for _, revoke := range revocations {
--- a/pkg/memory/budget_test.go
+++ b/pkg/memory/budget_test.go
@@ -84,6 +84,22 @@
 	require.Equal(t, int64(110), b.Stats().Used)
 }
 
+// Guards against messages of the same size that grow at the same time and are all
+// refused, because the first to be refused still holds its part.
+func TestRefusedMessageMakesRoom(t *testing.T) {
+	b := memory.New(100)
+	first, firstRevoked := claim(t, b, memory.Unstarted, 50)
+	second, secondRevoked := claim(t, b, memory.Unstarted, 50)
+	require.Error(t, first.GrowOrRelease(10))
+	require.NoError(t, second.GrowOrRelease(10))
+	require.Equal(t, int64(60), b.Stats().Used)
+	require.Equal(t, []int{0, 0}, []int{*firstRevoked, *secondRevoked})
+	first.Release()
+	require.NoError(t, second.Complete())
+	second.Release()
+	require.Zero(t, b.Stats().Used)
+}
+
 // Guards against a path that drops a message and shrinks the budget for good.
 func TestUnreachableClaimIsReleased(t *testing.T) {
 	b := memory.New(100)
--- a/pkg/payload/body.go
+++ b/pkg/payload/body.go
@@ -122,7 +122,7 @@
 // readSegment adds a segment of the given size. At the end of r the segment is
 // shorter and the error is that of r.
 func (b *Body) readSegment(r io.Reader, size int) error {
-	if err := b.claim.Grow(size); err != nil {
+	if err := b.claim.GrowOrRelease(size); err != nil {
 		return err
 	}
 	segment := make([]byte, size)
