Do not end the time in which a refused body is discarded

Callers saw: a client whose body was refused for lack of memory got a connection that was reset while it still sent, and no response.

Cause: a revoked transfer is ended by a read deadline in the past, set after the budget is unlocked. A reader that meets the revocation itself has refused the request by then, and discards what the client still sends. The late deadline ends that, and the close with unread bytes resets the connection.

Change: while the rest of a body is discarded the transfer is not ended.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -59,6 +59,7 @@
 	watching  bool // serve reads on while a request is handled
 	pipelined bool // bytes of a further request have arrived during the watch
 	closed    bool
+	lingering bool // the response was written, what the client still sends is discarded
 }
 
 func newClient(s *Server, conn net.Conn, claim *memory.Claim) *client {
@@ -178,7 +179,11 @@
 // reading ends.
 func (c *client) claimBody(bool) *memory.Claim {
 	return c.server.budget.Claim(memory.Request, memory.Unstarted, func() {
-		c.conn.SetReadDeadline(time.Unix(0, 1)) //nolint:errcheck // fails only for a closed connection
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if !c.lingering {
+			c.conn.SetReadDeadline(time.Unix(0, 1)) //nolint:errcheck // fails only for a closed connection
+		}
 	})
 }
 
@@ -216,7 +221,11 @@
 // chunks. Closing with unread bytes would reset the connection before the client has
 // read the response.
 func (c *client) linger(d time.Duration) {
-	if tcp, ok := c.conn.(*net.TCPConn); ok && tcp.CloseWrite() == nil && c.conn.SetReadDeadline(time.Now().Add(d)) == nil {
+	c.mu.Lock()
+	c.lingering = true
+	err := c.conn.SetReadDeadline(time.Now().Add(d))
+	c.mu.Unlock()
+	if tcp, ok := c.conn.(*net.TCPConn); ok && err == nil && tcp.CloseWrite() == nil {
 		limits := c.server.handler.Limits()
 		io.CopyN(io.Discard, c.conn, int64(limits.HeaderBytes+2*limits.BodyBytes)) //nolint:errcheck // only waits for the client to close
 	}
--- a/internal/ingress/server_test.go
+++ b/internal/ingress/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -322,6 +323,35 @@
 	require.Len(t, h.handled(), 1)
 }
 
+// Guards against a connection that is reset before its client has read the refusal,
+// because the transfer is ended after the server has seen that the body is revoked.
+func TestRefusalBeforeLateRevocation(t *testing.T) {
+	b := memory.New(1 << 20)
+	h := &handler{}
+	_, conn := serveWithin(t, h, b)
+	// The server reads half of the body and waits for more.
+	const size, half = 800_000, 400_000
+	send(t, conn, fmt.Sprintf("POST /large HTTP/1.1\nHost: a\nId: r1\nContent-Length: %d\n\n", size)+strings.Repeat("x", half))
+	require.Eventually(t, func() bool { return b.Stats().Held[memory.Request] >= half }, time.Second, time.Millisecond)
+	// Both are revoked at once, this one first.
+	slow := b.Claim(memory.Response, memory.Endless, func() {
+		send(t, conn, strings.Repeat("x", size/4))
+		require.Eventually(t, func() bool { return len(h.refused()) == 1 }, time.Second, time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+	})
+	require.NoError(t, slow.Grow(1))
+	b.Claim(memory.Response, memory.Fixed, nil).Force(500_000)
+	require.NoError(t, b.Claim(memory.Response, memory.Fixed, nil).Grow(100_000))
+	// A client sends all of its body before it reads.
+	for range 2 {
+		send(t, conn, strings.Repeat("x", size/8))
+		time.Sleep(20 * time.Millisecond)
+	}
+	status, _, closing := receive(t, bufio.NewReader(conn))
+	require.Equal(t, fasthttp.StatusServiceUnavailable, status)
+	require.True(t, closing)
+}
+
 // Guards against a body that fits into no budget and that the client is told to
 // send again.
 func TestBodyLargerThanTheBudget(t *testing.T) {
