--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -24,9 +24,6 @@
 	// maxSpareBuffer is the capacity up to which a write buffer is reused, and up
 	// to which pending frames need no claim on memory.
 	maxSpareBuffer = 16 << 10
-	// maxUnclaimedAnswers is the size of the answers that wait on a link without
-	// memory for them.
-	maxUnclaimedAnswers = 64 << 10
 	// maxCopiedBody is the size up to which a body is copied into the write
 	// buffer. Larger ones are written from where they are.
 	maxCopiedBody = 8 << 10
@@ -60,8 +57,6 @@
 	data   []byte        // without the large bodies
 	bodies []insertion   // large bodies, each of which the batch retains
 	claim  *memory.Claim // for the data, if it is large
-
-	unclaimedAnswers int // bytes of answers for which there was no memory
 }
 
 // insertion is a body that belongs before data[at:] of a batch.
@@ -145,33 +140,21 @@
 
 // claimQueue claims memory for pending frames whose size grows from before to
 // after. A withdrawal always gets it: it is small, there is at most one for each
-// offer, and without it the other node would go on with the request. Answers get it
-// up to maxUnclaimedAnswers, because an answer that cannot be sent closes the link,
-// and with it all requests that the other node has offered. The caller must hold l.mu.
+// offer, and without it the other node would go on with the request. The caller must
+// hold l.mu.
 func (l *Link) claimQueue(kind frame.Kind, before, after int) bool {
 	if after <= maxSpareBuffer {
 		return true
 	}
-	size := after - before
 	if l.pending.claim == nil {
 		l.pending.claim = l.budget.Claim(memory.Queue, memory.Fixed, nil)
 		before = 0
 	}
-	if l.pending.claim.Grow(after-before) == nil {
+	if kind == frame.KindCancel {
+		l.pending.claim.Force(after - before)
 		return true
 	}
-	switch kind {
-	case frame.KindCancel:
-	case frame.KindAnswer:
-		if l.pending.unclaimedAnswers+size > maxUnclaimedAnswers {
-			return false
-		}
-		l.pending.unclaimedAnswers += size
-	default:
-		return false
-	}
-	l.pending.claim.Force(after - before)
-	return true
+	return l.pending.claim.Grow(after-before) == nil
 }
 
 // flush writes pending frames until none are left. The caller must hold l.mu;
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -472,48 +472,6 @@
 	require.EqualValues(t, offers, canceled)
 }
 
-// Guards against LOST: an answer for which there is no memory closes its link, and with
-// it all requests that the other node has offered. Their number has a bound, since a
-// node may offer and never read.
-func TestAnswersAreSentWithoutMemory(t *testing.T) {
-	const sent, unclaimed = 500, 64 << 10
-	ln := listen(t, "127.0.0.1:0")
-	m := peer.NewMesh(&handler{}, peer.WithBudget(memory.New(200<<10)))
-	defer m.Close()
-	m.Connect(t.Context(), ln.Addr().String())
-	stalled, err := ln.Accept()
-	require.NoError(t, err)
-	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
-	l := m.Link(ln.Addr().String())
-	offer := &frame.Offer{Head: make([]byte, 64)}
-	full := make(chan struct{})
-	for range 2 {
-		go func() {
-			for peer.Send(l, frame.KindOffer, offer, nil) {
-			}
-			full <- struct{}{}
-		}()
-	}
-	<-full
-	answer := &frame.Answer{Head: make([]byte, 64)}
-	for answer.ID = range sent {
-		require.True(t, peer.Send(l, frame.KindAnswer, answer, nil))
-	}
-	size := 0
-	for peer.Send(l, frame.KindAnswer, answer, nil) {
-		size += len(answer.Head)
-	}
-	require.Less(t, size, unclaimed)
-	received := 0
-	for r := bufio.NewReader(stalled); received < sent; {
-		f, err := frame.Read(r, nil)
-		require.NoError(t, err)
-		if f.Kind == frame.KindAnswer {
-			received++
-		}
-	}
-}
-
 // Guards against LOST: answers that wait behind a large one when a node exits are lost
 // with the link.
 func TestShutdownWritesWhatIsQueued(t *testing.T) {
