Fill the queue of a link for certain in a test of withdrawals

Cause: TestWithdrawalIsSentWithoutMemory takes the first refused offer as a full queue. Beside load the socket may still take bytes then, or the test itself becomes the one that writes, up to the write deadline.

Change: a body of 64 MB, larger than what sockets hold, occupies the link first; then one sender fills the queue.

--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -435,27 +435,25 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
 	l := m.Link(ln.Addr().String())
+	const readBuffer = 4 << 10
 	offer := &frame.Offer{Head: make([]byte, 64)}
-	// The first sender to fill the buffers of the sockets writes until the link is read.
-	sent := make(chan uint64)
-	for range 2 {
-		go func() {
-			for id := uint64(1); ; id++ {
-				if !peer.Send(l, frame.KindOffer, offer, nil) {
-					sent <- id
-					return
-				}
-			}
-		}()
+	// The sockets cannot hold this body, so the link writes it until it is read.
+	go peer.Send(l, frame.KindOffer, offer, payload.NewBody(make([]byte, 64<<20), nil))
+	r := bufio.NewReader(stalled)
+	_, err = r.Peek(readBuffer) // more than a ping
+	require.NoError(t, err)
+	var offers uint64
+	for peer.Send(l, frame.KindOffer, offer, nil) {
+		offers++
 	}
-	offers := <-sent
+	require.NotZero(t, offers)
 	for id := range offers {
 		require.True(t, peer.Send(l, frame.KindCancel, frame.Cancel{ID: id}, nil))
 	}
 	read := make(chan uint64, 1)
 	go func() {
 		var count uint64
-		for r := bufio.NewReader(stalled); count < offers; {
+		for count < offers {
 			f, err := frame.Read(r, nil)
 			if err != nil {
 				break
