Start no run after its deadline, however late the timer is

Cause: a stand-in for a backend server that goes on after a pause asks the context whether the deadline has passed. The timer of the context can fire late on a busy machine; the run then starts, and ends with 504 at once.

Change: the clock is asked for the deadline as well.

--- a/internal/lab/server/runtimer.go
+++ b/internal/lab/server/runtimer.go
@@ -89,6 +89,9 @@
 	c.mu.Unlock()
 	select {
 	case <-resumed:
+		if deadline, ok := ctx.Deadline(); ok && !time.Now().Before(deadline) {
+			<-ctx.Done() // its timer may be late
+		}
 		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
