--- a/internal/lab/program/program.go
+++ b/internal/lab/program/program.go
@@ -27,7 +27,7 @@
 	commander := subcommands.NewCommander(flags, "lab")
 	for _, c := range []subcommands.Command{
 		commander.HelpCommand(), commander.FlagsCommand(), commander.CommandsCommand(),
-		&logCommand{}, &serverCommand{}, &loadCommand{}, &runCommand{}, &capacityCommand{}, &limitCommand{}, &overloadCommand{}, &accountCommand{},
+		&logCommand{}, &serverCommand{}, &loadCommand{}, &runCommand{}, &capacityCommand{}, &limitCommand{}, &overloadCommand{}, &accountCommand{}, &soakCommand{},
 	} {
 		commander.Register(c, "")
 	}
