Withdraw no call of a slow route by the time of quick ones

Cause: the dispatcher's patience with a repeatable call rests on the usual answer time of the server over all routes. After quick answers a call of a slow route was withdrawn and sent elsewhere, though its server ran it, which costs a retry.

Change: the record of a route has an answer time of its own; the longer one counts.

--- a/pkg/dispatcher/fastest_test.go
+++ b/pkg/dispatcher/fastest_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/papayapath/papayapath/pkg/contract"
 	"github.com/papayapath/papayapath/pkg/dispatcher"
 	"github.com/papayapath/papayapath/pkg/importance"
@@ -40,3 +42,20 @@
 	}
 	f.offered(f.arrive(request))
 }
+
+// Guards against a call of a slow route that is withdrawn and sent elsewhere after the
+// patience for quick routes, although its server runs it.
+func TestQuickRouteHastensNoSlowCall(t *testing.T) {
+	slow := contract.WithClass(contract.NewClass("faces", "GET", "/slow", importance.Normal, true, 2*deadline))
+	f := newFixture(t, 3, dispatcher.WithContracts(terms(slow)))
+	for range 20 {
+		quick := f.offered(f.arrive(get("")))
+		f.now = f.now.Add(time.Millisecond)
+		f.complete(quick)
+	}
+	request := get("")
+	request.Path = "/slow"
+	f.offered(f.arrive(request))
+	f.now = f.now.Add(200 * time.Millisecond)
+	require.Empty(t, f.Tick(f.now, nil))
+}
--- a/pkg/dispatcher/route.go
+++ b/pkg/dispatcher/route.go
@@ -6,6 +6,7 @@
 
 	"github.com/papayapath/papayapath/pkg/balancer"
 	"github.com/papayapath/papayapath/pkg/importance"
+	"github.com/papayapath/papayapath/pkg/latency"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/priority"
@@ -20,6 +21,7 @@
 	service    string
 	downstream threshold.Estimate // met by the runs of the route further down
 	fastest    balancer.Window    // of answer times
+	answer     latency.Estimator
 }
 
 // route returns the record of a route of a service.
@@ -38,6 +40,7 @@
 	r.downstream.Update(now, a.DownstreamThreshold)
 	if a.Outcome == outcome.Complete && a.Status < http.StatusInternalServerError {
 		r.fastest.Add(now, elapsed)
+		r.answer.Add(elapsed)
 	}
 }
 
--- a/pkg/dispatcher/send.go
+++ b/pkg/dispatcher/send.go
@@ -85,11 +85,11 @@
 	if !c.first.Repeatable || c.server == nil {
 		return left + transit
 	}
-	usual := c.service.Usual(c.server)
+	usual := c.route.answer.Mean()
 	if usual == 0 {
 		return max(left/2, leastPatience)
 	}
-	return max(patience*usual, leastPatience)
+	return max(patience*max(usual, c.service.Usual(c.server)), leastPatience)
 }
 
 // choose finds the server for the next attempt, or the reason why there is
