--- a/deploy/build_test.go
+++ b/deploy/build_test.go
@@ -191,3 +191,24 @@
 		})
 	}
 }
+
+// Guards against a build of what the platform does not run, with the modules that it
+// needs.
+func TestBuildOfRolesOnly(t *testing.T) {
+	s := readSystem(t)
+	dir := checkout(t)
+	out, err := command(t, dir, environment(t, tree(t, s.Packages)), "/bin/sh", "-c", s.Build)
+	require.NoError(t, err, out)
+	var expected []string
+	for _, r := range s.Roles {
+		expected = append(expected, filepath.Base(strings.Fields(r.Run)[0]))
+	}
+	built, err := os.ReadDir(filepath.Join(dir, "target"))
+	require.NoError(t, err)
+	var names []string
+	for _, f := range built {
+		names = append(names, f.Name())
+	}
+	slices.Sort(expected)
+	require.Equal(t, expected, names)
+}
