--- a/deploy/build_test.go
+++ b/deploy/build_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"go/version"
 	"maps"
 	"os"
 	"os/exec"
@@ -14,6 +15,7 @@
 
 	"github.com/BurntSushi/toml"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/mod/modfile"
 )
 
 const (
@@ -212,3 +214,17 @@
 	slices.Sort(expected)
 	require.Equal(t, expected, names)
 }
+
+// Guards against a build that asks for a newer Go than its modules need, so that a
+// machine with an older patch release refuses it.
+func TestGoVersionIsThatOfModules(t *testing.T) {
+	data, err := os.ReadFile("../go.mod")
+	require.NoError(t, err)
+	f, err := modfile.Parse("go.mod", data, nil)
+	require.NoError(t, err)
+	// Tests and tools are not part of the build, but of the module.
+	modules := query(t, "go", "list", "-deps", "-test", "-f", "{{with .Module}}{{if not .Main}}go{{.GoVersion}}{{end}}{{end}}", "../...", "tool")
+	required := slices.MaxFunc(modules, version.Compare)
+	require.Equal(t, strings.TrimPrefix(required, "go"), f.Go.Version)
+	require.Nil(t, f.Toolchain)
+}
