Log why a node fails, and report processor time, frames and waits

A trial that logged at the start that the former process had ended without a stop was reverted: the entry of that process is overwritten before it is read. Line 100 without a line 601 before it tells the same.

--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -68,6 +68,9 @@
 	s := signals.Watch()
 	env, err := settings.Read(path)
 	if err != nil {
+		j := journal.New(os.Stdout, nil)
+		defer j.Flush(logFlushTimeout)
+		logFailure(j, err)
 		return err
 	}
 	debug.SetGCPercent(gcPercent)
@@ -77,7 +80,16 @@
 	node := platform.NewNode(env, j)
 	r := &reloader{path: path, env: env, journal: j, node: node}
 	go r.watch(s.Reload())
-	return node.Run(ctx, s.Stop())
+	err = node.Run(ctx, s.Stop())
+	logFailure(j, err)
+	return err
+}
+
+// logFailure logs the error that ends the process, if there is one.
+func logFailure(j *journal.Journal, err error) {
+	if err != nil {
+		j.Write(event.NodeFailed, logrus.Fields{"detail": err.Error()})
+	}
 }
 
 // reloader reloads the settings of a node on SIGHUP or when the settings file
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -40,6 +40,7 @@
 	NodeStopped           = register(601, logrus.InfoLevel, "node stopped")
 	SettingsReloaded      = register(602, logrus.InfoLevel, "settings reloaded")
 	SettingsRejected      = register(603, logrus.WarnLevel, "settings rejected")
+	NodeFailed            = register(604, logrus.ErrorLevel, "node failed")
 	ConfigurationChanged  = register(610, logrus.InfoLevel, "active configuration changed")
 	ConfigurationRejected = register(611, logrus.WarnLevel, "configuration rejected")
 	LogUnavailable        = register(620, logrus.WarnLevel, "platform log unavailable")
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -126,9 +126,12 @@
 	if !isCopied {
 		body.Retain()
 		l.pending.bodies = append(l.pending.bodies, insertion{at: len(data), body: body})
-		l.traffic.add(kind, body.Len())
 	}
-	l.traffic.add(kind, len(data)-before)
+	size := len(data) - before
+	if !isCopied {
+		size += body.Len()
+	}
+	l.traffic.addFrame(kind, size)
 	if l.flushing {
 		l.mu.Unlock()
 		return true
@@ -200,6 +203,7 @@
 				return err
 			}
 		}
+		l.traffic.writes.Add(1)
 		if err := writeAll(l.conn, joined); err != nil {
 			return err
 		}
@@ -292,6 +296,7 @@
 // Read implements io.Reader.
 func (r *progressReader) Read(p []byte) (int, error) {
 	n, err := r.link.conn.Read(p)
+	r.link.traffic.reads.Add(1)
 	if n > 0 {
 		r.link.progress.Add(1)
 		if r.link.address == "" && r.mustReport(time.Now(), n) {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -8,6 +8,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/valyala/fasthttp"
+	"golang.org/x/sys/unix"
 
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/memory"
@@ -116,9 +117,12 @@
 	line("server_connections_reused", int64(reused))
 	for k := frame.Kind(1); k < frame.KindCount; k++ {
 		line("peer_bytes_sent_"+k.String(), int64(n.mesh.Traffic().Sent(k)))
+		line("peer_frames_sent_"+k.String(), int64(n.mesh.Traffic().Frames(k)))
 	}
+	line("peer_reads", int64(n.mesh.Traffic().Reads()))
+	line("peer_writes", int64(n.mesh.Traffic().Writes()))
 	n.reportBudget(line)
-	for _, m := range readMemory() {
+	for _, m := range append(readRuntime(), readProcessor()...) {
 		line(m.name, m.value)
 	}
 	n.mu.Lock()
@@ -145,35 +149,56 @@
 	}
 }
 
-// memoryMetrics are the metrics of the runtime that are reported, by their names
-// here. Their units are bytes and cycles.
-var memoryMetrics = [...]struct{ name, source string }{
+// runtimeMetrics are the metrics of the runtime that are reported, by their names
+// here. Their units are bytes, cycles and microseconds.
+var runtimeMetrics = [...]struct{ name, source string }{
 	{"memory_live", "/gc/heap/live:bytes"}, // in use at the last garbage collection
 	{"memory_objects", "/memory/classes/heap/objects:bytes"},
 	{"memory_stacks", "/memory/classes/heap/stacks:bytes"},
 	{"memory_mapped", "/memory/classes/total:bytes"},
 	{"memory_released", "/memory/classes/heap/released:bytes"}, // part of what is mapped
+	{"memory_allocated", "/gc/heap/allocs:bytes"},
 	{"memory_collections", "/gc/cycles/total:gc-cycles"},
+	{"goroutines", "/sched/goroutines:goroutines"},
+	{"processor_collector_us", "/cpu/classes/gc/total:cpu-seconds"}, // until the last garbage collection
 }
 
-// memoryMetric is the value of one of memoryMetrics.
-type memoryMetric struct {
+// gauge is the value of a metric.
+type gauge struct {
 	name  string
 	value int64
 }
 
-// readMemory returns the values of memoryMetrics.
-func readMemory() []memoryMetric {
-	samples := make([]runtimemetrics.Sample, len(memoryMetrics))
-	for i, m := range memoryMetrics {
+// readRuntime returns the values of runtimeMetrics.
+func readRuntime() []gauge {
+	samples := make([]runtimemetrics.Sample, len(runtimeMetrics))
+	for i, m := range runtimeMetrics {
 		samples[i].Name = m.source
 	}
 	runtimemetrics.Read(samples)
-	var values []memoryMetric
+	var values []gauge
 	for i, s := range samples {
-		if s.Value.Kind() == runtimemetrics.KindUint64 {
-			values = append(values, memoryMetric{name: memoryMetrics[i].name, value: int64(s.Value.Uint64())})
+		switch s.Value.Kind() {
+		case runtimemetrics.KindUint64:
+			values = append(values, gauge{name: runtimeMetrics[i].name, value: int64(s.Value.Uint64())})
+		case runtimemetrics.KindFloat64:
+			values = append(values, gauge{name: runtimeMetrics[i].name, value: int64(s.Value.Float64() * 1e6)})
 		}
 	}
 	return values
 }
+
+// readProcessor returns the processor time of the process in microseconds, in its own
+// code and in the kernel, and how often its threads have waited. It returns nothing
+// where the platform does not tell.
+func readProcessor() []gauge {
+	var u unix.Rusage
+	if unix.Getrusage(unix.RUSAGE_SELF, &u) != nil {
+		return nil
+	}
+	return []gauge{
+		{name: "processor_user_us", value: time.Duration(u.Utime.Nano()).Microseconds()},
+		{name: "processor_system_us", value: time.Duration(u.Stime.Nano()).Microseconds()},
+		{name: "processor_waits", value: u.Nvcsw},
+	}
+}
