Read and write sockets without waking the runtime's monitor thread

Cause: with a few requests at a time a node is idle before each message. package net announces each read and write to the scheduler as one that may block; if the process was idle, that wakes the runtime's monitor thread, which sleeps for 20 us, looks and waits again: two or three switches of threads for each message that is handled.

Change: sockets of clients, links and backend servers, which never block, are read and written by system calls that the scheduler is not told of (socket.Direct).

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -225,7 +225,7 @@
 	c.lingering = true
 	err := c.conn.SetReadDeadline(time.Now().Add(d))
 	c.mu.Unlock()
-	if tcp, ok := c.conn.(*net.TCPConn); ok && err == nil && tcp.CloseWrite() == nil {
+	if tcp, ok := c.conn.(interface{ CloseWrite() error }); ok && err == nil && tcp.CloseWrite() == nil {
 		limits := c.server.handler.Limits()
 		io.CopyN(io.Discard, c.conn, int64(limits.HeaderBytes+2*limits.BodyBytes)) //nolint:errcheck // only waits for the client to close
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -108,7 +108,7 @@
 			conn.Close() //nolint:errcheck // nothing has been read
 			continue
 		}
-		c := newClient(s, conn, claim)
+		c := newClient(s, socket.Direct(conn), claim)
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
 		s.mu.Unlock()
--- a/internal/ingress/source.go
+++ b/internal/ingress/source.go
@@ -53,18 +53,11 @@
 
 // tryRead reads what has arrived. It returns false if there is nothing.
 func (s *source) tryRead(fd uintptr) bool {
-	for {
-		s.count, s.err = syscall.Read(int(fd), s.buffer)
-		switch s.err {
-		case syscall.EINTR:
-			continue
-		case syscall.EAGAIN:
-			s.reportDrained()
-			return false
-		}
-		s.count = max(0, s.count)
-		return true
+	if s.count, s.err = socket.ReadNow(fd, s.buffer); s.err == syscall.EAGAIN {
+		s.reportDrained()
+		return false
 	}
+	return true
 }
 
 // errNoDescriptor means that a connection can be watched only by reading from it.
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/papayapath/papayapath/internal/socket"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/payload"
@@ -88,7 +89,7 @@
 }
 
 func newLink(conn net.Conn, address string, t *Traffic, b *memory.Budget) *Link {
-	return &Link{conn: conn, address: address, traffic: t, budget: b}
+	return &Link{conn: socket.Direct(conn), address: address, traffic: t, budget: b}
 }
 
 // Address returns the address that was dialed, or "" for a link that the other
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,6 +12,7 @@
 
 	"github.com/papayapath/papayapath/internal/fault"
 	"github.com/papayapath/papayapath/internal/framing"
+	"github.com/papayapath/papayapath/internal/socket"
 	"github.com/papayapath/papayapath/pkg/memory"
 	"github.com/papayapath/papayapath/pkg/payload"
 )
@@ -41,7 +42,7 @@
 }
 
 func newConn(p *Pool, opened net.Conn) *conn {
-	return &conn{pool: p, net: opened, maxIdle: defaultMaxIdle}
+	return &conn{pool: p, net: socket.Direct(opened), maxIdle: defaultMaxIdle}
 }
 
 // send writes a request. The reading goroutine completes the exchange.
