Handle requests with fewer allocations, stacks and system calls

Change: goroutines of requests are used again, results are passed by reference, and the look is not announced to the scheduler.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -267,7 +267,9 @@
 	c.watching, c.pipelined = true, c.reader.Buffered() > 0
 	c.mu.Unlock()
 	disconnected, done := make(chan struct{}), make(chan bool, 1)
-	c.source.drained = func() { go c.handle(req, body, receivedAt, disconnected, done) }
+	c.source.drained = func() {
+		c.server.workers.run(func() { c.handle(req, body, receivedAt, disconnected, done) })
+	}
 	if !c.watch(idleTimeout) {
 		return <-done
 	}
--- a/internal/ingress/server.go
+++ b/internal/ingress/server.go
@@ -71,6 +71,7 @@
 	writeTimeout       time.Duration
 	budget             *memory.Budget // nil if memory is unlimited
 	keepAlivesDisabled atomic.Bool
+	workers            workers
 
 	mu             sync.Mutex
 	clients        map[*client]struct{}
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -233,7 +233,7 @@
 		select {
 		case result := <-req.results:
 			req.removeOffer(result.answer.ID)
-			if reply, ok := n.handleResult(time.Now(), req, &result); ok {
+			if reply, ok := n.handleResult(time.Now(), req, result); ok {
 				n.cancelOffers(req, false)
 				return reply
 			}
@@ -266,7 +266,7 @@
 	for range len(req.results) {
 		result := <-req.results
 		req.removeOffer(result.answer.ID)
-		if reply, ok := n.handleResult(time.Now(), req, &result); ok {
+		if reply, ok := n.handleResult(time.Now(), req, result); ok {
 			return reply
 		}
 	}
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -88,7 +88,7 @@
 	n.mu.Unlock()
 	for id, p := range unanswered {
 		// The answer may have been in transit, so the request may have run.
-		p.request.results <- offerResult{
+		p.request.results <- &offerResult{
 			answer: frame.Answer{ID: id, Outcome: outcome.Unknown, Reason: outcome.Broken, Sent: true}, pending: p, linkLost: true,
 		}
 	}
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -182,7 +182,7 @@
 		n.callsTraced = n.callsTraced || len(a.Fanout) > 0
 	}
 	n.mu.Unlock()
-	p.request.results <- offerResult{answer: *a, body: body, pending: p}
+	p.request.results <- &offerResult{answer: *a, body: body, pending: p}
 }
 
 // recordLatency records a latency of a route.
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -47,7 +47,7 @@
 	overloaded      bool            // it or one of its nested calls failed for lack of capacity
 	delayUnknown    bool            // it ended before its queue delay was known
 	configVersion   uint64          // configuration version that routed the request
-	results         chan offerResult
+	results         chan *offerResult
 	lastRun         run // of the latest offer that ended without the answer of a server
 }
 
@@ -70,7 +70,7 @@
 		body:           r.Body,
 		arrival:        r.ReceivedAt,
 		deadline:       r.ReceivedAt.Add(timeout),
-		results:        make(chan offerResult, maxOffersPerRequest+1),
+		results:        make(chan *offerResult, maxOffersPerRequest+1),
 	}
 	root, _, _ := strings.Cut(id, ".")
 	method := r.Header.Method()
--- a/internal/socket/closed.go
+++ b/internal/socket/closed.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"syscall"
+	"unsafe"
 
 	"golang.org/x/sys/unix"
 )
@@ -37,14 +38,16 @@
 // IsHungUp is like IsClosedByPeer, for a descriptor. It consumes no data.
 func IsHungUp(fd uintptr) bool { return poll(fd, unix.POLLRDHUP) }
 
-// poll reports whether one of the events, or a failure, is pending.
+// poll reports whether one of the events, or a failure, is pending. Like the transfers
+// of a directConn, it never blocks and is not announced to the scheduler.
 func poll(fd uintptr, events int16) bool {
-	p := []unix.PollFd{{Fd: int32(fd), Events: events}}
+	p := unix.PollFd{Fd: int32(fd), Events: events}
+	var timeout unix.Timespec
 	for {
-		n, err := unix.Poll(p, 0)
-		if err == unix.EINTR {
+		n, _, errno := unix.RawSyscall6(unix.SYS_PPOLL, uintptr(unsafe.Pointer(&p)), 1, uintptr(unsafe.Pointer(&timeout)), 0, 0, 0)
+		if errno == unix.EINTR {
 			continue
 		}
-		return err == nil && n > 0 && p[0].Revents&(events|unix.POLLHUP|unix.POLLERR) != 0
+		return errno == 0 && n > 0 && p.Revents&(events|unix.POLLHUP|unix.POLLERR) != 0
 	}
 }
