Ignore a closed standard output

Cause: package os ends the process when a write to descriptor 1 or 2 fails with EPIPE, unless SIGPIPE is handled or ignored.

Change: internal/signals ignores SIGPIPE.

--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -12,14 +12,17 @@
 	reload chan os.Signal
 }
 
-// Watch starts to receive SIGTERM, SIGINT and SIGHUP. Until it is called, each of
-// them ends the process.
+// Watch starts to receive SIGTERM, SIGINT and SIGHUP, and ignores SIGPIPE. Until it is
+// called, each of them ends the process, unless the program has ignored it before.
+//
+// SIGPIPE is sent when nobody reads the standard output or error any more.
 //
 // Package os/signal drops a signal for which its channel has no room. Each kind of
 // signal has its own channel with room for one, so a signal is dropped only while
 // an equal one waits, which has the same effect: it will be acted on later.
 func Watch() *Signals {
 	s := &Signals{stop: make(chan struct{}), reload: make(chan os.Signal, 1)}
+	signal.Ignore(syscall.SIGPIPE)
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
