Accept no setting that ends the process later

Cause: a number was checked for its sign only. The window is divided into buckets; a bucket of 0 ns divides by zero.

A package that divides by its own argument bounds it itself.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -27,9 +27,9 @@
 }
 
 // New returns an unused allowance. Within each window, the retries of all nodes
-// are limited to ratio times their requests, plus slack.
+// are limited to ratio times their requests, plus slack. A window is 1 us at least.
 func New(ratio, slack float64, window time.Duration) *Allowance {
-	return &Allowance{ratio: ratio, slack: slack, bucket: window / buckets}
+	return &Allowance{ratio: ratio, slack: slack, bucket: max(window, time.Microsecond) / buckets}
 }
 
 // advance clears the buckets that have left the window and returns the position
