Give no offer more than the whole retry budget

Cause: the part of the retry budget that an offer may use grew with its level, and the level that another node sends was not bounded.

Change: levels beyond the highest count as the highest.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -56,6 +56,7 @@
 // important ones when every request needs a retry.
 func (a *Allowance) Allows(now time.Time, nodes int, level importance.Level, retries float64) bool {
 	a.advance(now)
+	level = min(level, importance.Critical)
 	requests, spent := 0.0, 0.0
 	for i := range buckets {
 		requests += a.requests[i]
