Refuse a response whose status is none

What callers could see: a backend server that answers with the status 000 was passed on as 200; 2, 20 and 2000 reached the client as they were, a malformed response.

Cause: fasthttp reads any number as the status, and takes 0 for 200.

Change: a status has three digits, the first not 0.

--- a/internal/framing/response.go
+++ b/internal/framing/response.go
@@ -44,13 +44,24 @@
 	if err != nil {
 		return err
 	}
-	_, fields, _ := bytes.Cut(section, []byte{'\n'})
+	line, fields, _ := bytes.Cut(section, []byte{'\n'})
+	if !hasStatus(bytes.TrimSuffix(line, []byte{'\r'})) {
+		return &Error{reason: "has a malformed status line"}
+	}
 	if err := Check(fields); err != nil {
 		return err
 	}
 	return h.Read(r)
 }
 
+// hasStatus reports whether a status line has a status of three digits, the first not
+// 0. Other implementations take another one for a success, or for two responses.
+func hasStatus(line []byte) bool {
+	_, rest, _ := bytes.Cut(line, []byte{' '})
+	status, _, _ := bytes.Cut(rest, []byte{' '})
+	return len(status) == 3 && isDigits(status) && status[0] != '0'
+}
+
 // peekHeader returns the next header section without consuming it.
 func peekHeader(r *bufio.Reader) ([]byte, error) {
 	for n := 1; ; n = r.Buffered() + 1 {
