Keep no long names of customers in suspicions

Cause: a message of another node may have 4 MiB, and the table of suspicions keeps the names in it, up to the number of its records: memory without a bound in bytes, for which the platform kills the process.

Change: suspicions of customers with more than 255 bytes are ignored.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -149,9 +149,16 @@
 	q.update(now, r, record{revision: rec.revision})
 }
 
+// maxCustomerBytes bounds the name of a customer in a suspicion of another node. The
+// table keeps the names.
+const maxCustomerBytes = 255
+
 // Merge applies a record of another node if it is newer. Of two concurrent
 // changes with the same revision, the one with more crashes wins.
 func (q *Quarantine) Merge(now time.Time, s message.Suspicion) {
+	if len(s.Customer) > maxCustomerBytes {
+		return
+	}
 	r := Request{Customer: s.Customer, Content: s.Content}
 	rec := q.lookup(now, r)
 	if s.Revision < rec.revision || s.Revision == rec.revision && s.Crashes <= rec.crashes {
