Decode no more entries than a registry holds

Cause: an entry of one byte takes as much memory as any once it is decoded, and an array could have 131,072 of them.

Change: arrays have 32,768 elements at most, the entries that a registry holds.

--- a/pkg/message/codec.go
+++ b/pkg/message/codec.go
@@ -8,7 +8,7 @@
 
 // Limits on the allocations that a peer can cause in a decoder.
 const (
-	maxArrayElements = 1 << 17
+	maxArrayElements = 1 << 15 // the entries that a registry holds
 	maxMapPairs      = 1 << 10
 	maxNestedLevels  = 16
 )
