Forget the leaving servers of nodes that have gone

Replaced machines, or a node that invents entries, fill the memory of a process in the end.

Change: marks of 32,768 nodes are kept, as many as entries. Those go first for which nobody has asked for the longest time; each change of the table asks for the marks of all nodes that have an entry.

--- a/pkg/registry/registry.go
+++ b/pkg/registry/registry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/papayapath/papayapath/pkg/readiness"
 )
@@ -63,8 +64,9 @@
 type Registry struct {
 	entries map[string]Entry
 	removed map[string]removal
-	leaving map[string][]readiness.Incarnation // latest servers of each node that are known to leave
-	buckets [summaryBuckets]uint64             // digest of the entries of each bucket
+	// leaving holds the latest servers of each node that are known to leave.
+	leaving *simplelru.LRU[string, []readiness.Incarnation]
+	buckets [summaryBuckets]uint64 // digest of the entries of each bucket
 	changes uint64
 }
 
@@ -82,10 +84,17 @@
 // nodes still exchange the entry for a few rounds.
 const removalTTL = 60 * time.Second
 
+// panicMarks is the panic message for an invalid bound of the marks.
+const panicMarks = "registry: invalid number of marks"
+
 // New returns an empty registry.
 func New() *Registry {
+	leaving, err := simplelru.NewLRU[string, []readiness.Incarnation](maxEntries, nil)
+	if err != nil {
+		panic(panicMarks)
+	}
 	return &Registry{
-		entries: make(map[string]Entry), removed: make(map[string]removal), leaving: make(map[string][]readiness.Incarnation),
+		entries: make(map[string]Entry), removed: make(map[string]removal), leaving: leaving,
 	}
 }
 
@@ -117,16 +126,17 @@
 
 // MarkLeaving records that a backend server of a node is going to shut down. The
 // mark outlasts the entry: a restarted node may offer the server again because it
-// does not know.
+// does not know. Of more than maxEntries nodes, those without an entry are forgotten
+// first, as nobody has asked for their marks for the longest time.
 func (r *Registry) MarkLeaving(node string, server readiness.Incarnation) {
-	servers := r.leaving[node]
+	servers, _ := r.leaving.Get(node)
 	if slices.Contains(servers, server) {
 		return
 	}
 	if len(servers) == maxLeavingPerNode {
 		servers = slices.Delete(servers, 0, 1)
 	}
-	r.leaving[node] = append(servers, server)
+	r.leaving.Add(node, append(servers, server))
 	r.changes++
 }
 
@@ -137,7 +147,8 @@
 // IsLeaving reports whether the backend server of an entry, or a later start of
 // it, is known to leave.
 func (r *Registry) IsLeaving(e Entry) bool {
-	return slices.ContainsFunc(r.leaving[e.Node], func(s readiness.Incarnation) bool {
+	servers, _ := r.leaving.Get(e.Node)
+	return slices.ContainsFunc(servers, func(s readiness.Incarnation) bool {
 		return s.ID == e.Instance && s.Born >= e.Born
 	})
 }
