Pass no answer of another node on that is none

What callers could see: an answer of another node with the status 0, -200, 100 or 2000, or with a second header section or length among its fields, reached the client as a malformed response or as two; one without an outcome became 503, "not run", though nothing tells that it has not run.

Cause: answers of nodes were passed on as they came. Only those of backend servers were checked.

Change: such an answer counts as an unknown outcome (502, or another server if the request may be repeated).

--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -52,6 +52,27 @@
 	return nil
 }
 
+// CheckFields rejects header lines of a response that its sender adds to a message
+// whose length it states itself: lines that Check rejects, that state a length, or that
+// end the header section.
+func CheckFields(lines []byte) error {
+	if len(lines) > 0 && !bytes.HasSuffix(lines, []byte("\r\n")) {
+		return &Error{reason: "has a header line without an end"}
+	}
+	for rest := lines; len(rest) > 0; {
+		var line []byte
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		name, _, _ := bytes.Cut(line, []byte{':'})
+		switch {
+		case len(line) == 0 || bytes.IndexByte(line, '\n') >= 0:
+			return &Error{reason: "has an empty or unterminated header line"}
+		case bytes.EqualFold(name, []byte("Content-Length")), bytes.EqualFold(name, []byte("Transfer-Encoding")):
+			return &Error{reason: "states a length among its fields"}
+		}
+	}
+	return Check(lines)
+}
+
 func isDigits(b []byte) bool {
 	for _, c := range b {
 		if c < '0' || c > '9' {
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -135,6 +135,7 @@
 	case frame.KindAnswer:
 		var a frame.Answer
 		if a, err = decodeMessage[frame.Answer](head); err == nil {
+			correctAnswer(&a)
 			n.handleAnswer(now, l, &a, f.Body)
 			return
 		}
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -7,6 +7,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/internal/ingress"
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/pkg/frame"
@@ -185,6 +186,20 @@
 	p.request.results <- &offerResult{answer: *a, body: body, pending: p}
 }
 
+// correctAnswer gives an answer of another node that is none an unknown outcome: one
+// without an outcome, or one whose status or header section would reach the client as a
+// malformed response, or as several.
+func correctAnswer(a *frame.Answer) {
+	isValid := a.Outcome == outcome.NotRun ||
+		a.Outcome == outcome.Complete && a.Status >= fasthttp.StatusOK && a.Status <= maxStatus && framing.CheckFields(a.Head) == nil
+	if !isValid {
+		a.Outcome, a.Reason, a.Sent = outcome.Unknown, outcome.Broken, true
+	}
+}
+
+// maxStatus is the highest status of a response.
+const maxStatus = 999
+
 // recordLatency records a latency of a route.
 func recordLatency(estimators map[message.Route]*latency.Estimator, key message.Route, d time.Duration) {
 	estimator := estimators[key]
