Ping a link once in a silence

Cause: a link on which a response is pending was pinged every 250 ms without one. In a mesh of ninety nodes each link carries a few requests a second, so most of the links with a request wait for longer than that, and a node sends, reads and answers about as many pings as requests. Each wakes a process.

Change: the ping is sent at the second of the four checks after which a silent link is closed, and once. Detection takes as long as before.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -30,6 +30,9 @@
 	// a response is pending, after which a link is closed. With checkInterval it
 	// makes one second, several times the longest round trip between regions.
 	maxSilentChecks = 4
+	// pingCheck is the one of these checks at which a ping is sent. Most responses come
+	// before it. What is left of the time is several round trips too.
+	pingCheck = 2
 )
 
 // Handler receives frames and connection events. Its methods are called by one
@@ -283,8 +286,8 @@
 	}
 }
 
-// check closes unresponsive links and pings the others on which a response is
-// pending. It counts checks instead of elapsed time, so that a pause of this
+// check closes unresponsive links, and pings those on which a response is pending and
+// nothing has arrived for a while. It counts checks instead of elapsed time, so that a pause of this
 // process does not count as silence of the other nodes.
 func (m *Mesh) check() {
 	for _, l := range m.Links() {
@@ -305,7 +308,9 @@
 			l.Close()
 			continue
 		}
-		Send(l, frame.KindPing, frame.Ping{}, nil)
+		if last.silentChecks == pingCheck {
+			Send(l, frame.KindPing, frame.Ping{}, nil)
+		}
 	}
 }
 
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -181,6 +181,33 @@
 	return ln.Addr().String(), &accepted
 }
 
+// Guards against pings that cost more than the requests: one for each quarter of a
+// second on each link on which a response is pending.
+func TestFewPingsWhileResponsesArePending(t *testing.T) {
+	const (
+		observed = 3 * time.Second
+		// maxPings is one each 750 ms: a reader that answers at once is asked again when
+		// two checks have passed without anything.
+		maxPings = 4
+	)
+	h := &handler{}
+	ln := listen(t, "127.0.0.1:0")
+	server := peer.NewMesh(&handler{})
+	go server.Accept(ln) //nolint:errcheck // returns when the listener is closed
+	m := peer.NewMesh(h)
+	defer m.Close()
+	go m.MonitorLinks(t.Context())
+	m.Connect(t.Context(), ln.Addr().String())
+	require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
+	h.pending.Store(true)
+	time.Sleep(observed)
+	pings := m.Traffic().Frames(frame.KindPing)
+	require.Positive(t, pings)
+	require.LessOrEqual(t, pings, uint64(maxPings))
+	_, down, _, _ := h.counts()
+	require.Zero(t, down)
+}
+
 // Guards against dialing without a delay a node that accepts connections and
 // closes them at once, for example because its descriptors are used up.
 func TestBackoffWhenLinksCloseAtOnce(t *testing.T) {
