Read the answers that have arrived before an exit ends their requests

Cause: a node that gets no processor until its exit is due decides to exit before it reads the answers that lie in its sockets, and ends their requests.

The margin before the end of the grace period covers it.

--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -40,11 +40,13 @@
 	// latency between failure domains.
 	offerPropagationTime = 100 * time.Millisecond
 	// exitMargin is the time before the end of the grace period at which a
-	// stopping node exits even with open requests. It covers lastAnswersTime, twice
+	// stopping node exits even with open requests. It covers lastAnswersTime, three times
 	// lastFramesTime, and the process exit itself with the last log lines.
 	exitMargin = 600 * time.Millisecond
 	// stopPollInterval is how often a stopping node checks whether it may exit.
 	stopPollInterval = 25 * time.Millisecond
+	// shortPollInterval is how often a node that exits looks for its last answers.
+	shortPollInterval = 5 * time.Millisecond
 )
 
 // drain stops the node gracefully. While client requests are in progress, the
@@ -77,7 +79,8 @@
 			n.refuseQueued(now)
 		}
 		if n.decideExit(now) {
-			n.logCutRuns(now)
+			n.awaitArrivedAnswers()
+			n.logCutRuns(time.Now())
 			n.answerOpenRequests()
 			n.clients.CloseIdle()
 			n.mesh.Shutdown(exitDeadline, lastFramesTime)
@@ -120,6 +123,21 @@
 	go n.reply(replies...)
 }
 
+// awaitArrivedAnswers gives a node that got no processor until its exit the time to
+// read the answers that have arrived.
+func (n *Node) awaitArrivedAnswers() {
+	for end := time.Now().Add(lastFramesTime); n.hasOpenOffers() && time.Now().Before(end); {
+		time.Sleep(shortPollInterval)
+	}
+}
+
+// hasOpenOffers reports whether an answer of a server or of another node is due.
+func (n *Node) hasOpenOffers() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.pending)+len(n.executions) > 0
+}
+
 // answerOpenRequests ends the requests that are open when a stopping node exits, so
 // that none is cut without an answer.
 func (n *Node) answerOpenRequests() {
