Let runs elsewhere outlast the bound of a stopping node

Cause: a node cuts a run 20 ms after its deadline, which is right for the deadline of a client. The node beside the stopping one waits longer since; other nodes cannot tell whose deadline it is and did not.

Change: they all wait as long.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -170,8 +170,9 @@
 	timeout := remaining
 	n.mu.Lock()
 	isWithdrawn := ex.canceled
-	if n.stopping && !ex.ticket.Expires.Before(n.runsEnd()) {
-		// The deadline is this node's, not the client's: a late answer is still wanted.
+	if ex.key.link != nil || n.stopping && !ex.ticket.Expires.Before(n.runsEnd()) {
+		// The deadline may be that of a stopping node, not the client's: a late answer is
+		// still wanted.
 		timeout += lastRunsTime
 	}
 	n.mu.Unlock()
