Encode offers and answers field by field

Cause: the two frames of each request were encoded and decoded by a codec that inspects their types: an eighth of the processor time of a node under load, by its profile (both directions, 5.1 of 42.5 s), with a copy of each message.

Change: offers and answers encode themselves with the functions of a MessagePack library, into the buffer of the link. A message that does so is decoded by the same rules as the others: exactly one value, bounded arrays, a *CodecError otherwise. Nodes of this and earlier versions cannot be mixed in one mesh.

--- /dev/null
+++ b/pkg/frame/codec.go
@@ -0,0 +1,205 @@
+package frame
+
+import (
+	"errors"
+	"time"
+
+	"github.com/tinylib/msgp/msgp"
+
+	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/notice"
+	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/priority"
+)
+
+// Offers and answers are encoded field by field, in MessagePack, because they are the
+// frames of each request: a codec that inspects the type takes many times as long.
+
+const (
+	offerFields  = 15
+	answerFields = 14
+	noticeFields = 5
+	// maxFanout bounds the services of an Answer.
+	maxFanout = 1 << 12
+)
+
+var (
+	errFields   = errors.New("frame: wrong number of fields")
+	errTrailing = errors.New("frame: bytes behind the message")
+	errRange    = errors.New("frame: number is out of range")
+)
+
+// AppendTo appends the encoded offer to dst.
+func (o *Offer) AppendTo(dst []byte) []byte {
+	dst = msgp.AppendArrayHeader(dst, offerFields)
+	dst = msgp.AppendUint64(dst, o.ID)
+	dst = msgp.AppendString(dst, o.Request)
+	dst = msgp.AppendString(dst, o.Service)
+	dst = msgp.AppendUint64(dst, uint64(o.Route))
+	dst = msgp.AppendUint16(dst, uint16(o.Priority))
+	dst = msgp.AppendInt64(dst, int64(o.Wait))
+	dst = msgp.AppendInt64(dst, int64(o.Sent))
+	dst = msgp.AppendBool(dst, o.Repeatable)
+	dst = msgp.AppendBool(dst, o.Nested)
+	dst = msgp.AppendBool(dst, o.HasBody)
+	dst = msgp.AppendBool(dst, o.HeadOnly)
+	dst = msgp.AppendString(dst, o.Origin)
+	dst = msgp.AppendUint64(dst, o.Content)
+	dst = msgp.AppendBytes(dst, o.Head)
+	return o.Notice.appendTo(dst)
+}
+
+// DecodeFrom decodes the offer from data, which it does not retain.
+func (o *Offer) DecodeFrom(data []byte) error {
+	d := decoder{rest: data}
+	d.fields(offerFields)
+	o.ID = d.uint64()
+	o.Request = d.string()
+	o.Service = d.string()
+	o.Route = message.Route(d.uint64())
+	o.Priority = priority.Priority(d.uint16())
+	o.Wait = time.Duration(d.int64())
+	o.Sent = time.Duration(d.int64())
+	o.Repeatable = d.bool()
+	o.Nested = d.bool()
+	o.HasBody = d.bool()
+	o.HeadOnly = d.bool()
+	o.Origin = d.string()
+	o.Content = d.uint64()
+	o.Head = d.bytes()
+	o.Notice = d.notice()
+	return d.end()
+}
+
+// AppendTo appends the encoded answer to dst.
+func (a *Answer) AppendTo(dst []byte) []byte {
+	dst = msgp.AppendArrayHeader(dst, answerFields)
+	dst = msgp.AppendUint64(dst, a.ID)
+	dst = msgp.AppendUint8(dst, uint8(a.Outcome))
+	dst = msgp.AppendUint8(dst, uint8(a.Reason))
+	dst = msgp.AppendBool(dst, a.Sent)
+	dst = msgp.AppendInt(dst, a.Status)
+	dst = msgp.AppendBytes(dst, a.Head)
+	dst = msgp.AppendInt64(dst, int64(a.QueueDelay))
+	dst = msgp.AppendBool(dst, a.CallRefused)
+	dst = msgp.AppendInt(dst, a.Load)
+	dst = msgp.AppendInt(dst, a.Limit)
+	dst = msgp.AppendInt64(dst, int64(a.Time))
+	dst = msgp.AppendBool(dst, a.HasFanout)
+	dst = msgp.AppendArrayHeader(dst, uint32(len(a.Fanout)))
+	for _, s := range a.Fanout {
+		dst = msgp.AppendString(dst, s.Service)
+		dst = msgp.AppendFloat32(dst, s.Calls)
+	}
+	return a.Notice.appendTo(dst)
+}
+
+// DecodeFrom decodes the answer from data, which it does not retain.
+func (a *Answer) DecodeFrom(data []byte) error {
+	d := decoder{rest: data}
+	d.fields(answerFields)
+	a.ID = d.uint64()
+	a.Outcome = outcome.Outcome(d.uint8())
+	a.Reason = outcome.Reason(d.uint8())
+	a.Sent = d.bool()
+	a.Status = d.int()
+	a.Head = d.bytes()
+	a.QueueDelay = time.Duration(d.int64())
+	a.CallRefused = d.bool()
+	a.Load = d.int()
+	a.Limit = d.int()
+	a.Time = time.Duration(d.int64())
+	a.HasFanout = d.bool()
+	n := d.length(maxFanout)
+	for range n {
+		a.Fanout = append(a.Fanout, ServiceCalls{Service: d.string(), Calls: d.float32()})
+		if d.err != nil {
+			break
+		}
+	}
+	a.Notice = d.notice()
+	return d.end()
+}
+
+func (n *Notice) appendTo(dst []byte) []byte {
+	if n == nil {
+		return msgp.AppendNil(dst)
+	}
+	dst = msgp.AppendArrayHeader(dst, noticeFields)
+	dst = msgp.AppendString(dst, n.ID)
+	dst = msgp.AppendInt64(dst, n.Born)
+	dst = msgp.AppendBool(dst, n.Notice.Limited)
+	dst = msgp.AppendFloat64(dst, n.Notice.Rate)
+	return msgp.AppendBool(dst, n.Notice.Leaving)
+}
+
+// decoder decodes fields one after another. After an error, all of them are zero.
+type decoder struct {
+	rest []byte
+	err  error
+}
+
+// next decodes a field with read, a function of package msgp.
+func next[T any](d *decoder, read func([]byte) (T, []byte, error)) (v T) {
+	if d.err != nil {
+		return v
+	}
+	v, d.rest, d.err = read(d.rest)
+	return v
+}
+
+func (d *decoder) uint64() uint64   { return next(d, msgp.ReadUint64Bytes) }
+func (d *decoder) uint16() uint16   { return next(d, msgp.ReadUint16Bytes) }
+func (d *decoder) uint8() uint8     { return next(d, msgp.ReadUint8Bytes) }
+func (d *decoder) int64() int64     { return next(d, msgp.ReadInt64Bytes) }
+func (d *decoder) int() int         { return next(d, msgp.ReadIntBytes) }
+func (d *decoder) bool() bool       { return next(d, msgp.ReadBoolBytes) }
+func (d *decoder) float32() float32 { return next(d, msgp.ReadFloat32Bytes) }
+func (d *decoder) float64() float64 { return next(d, msgp.ReadFloat64Bytes) }
+func (d *decoder) string() string   { return next(d, msgp.ReadStringBytes) }
+
+func (d *decoder) bytes() []byte {
+	return next(d, func(b []byte) ([]byte, []byte, error) { return msgp.ReadBytesBytes(b, nil) })
+}
+
+// length decodes the length of an array, of most elements at the most.
+func (d *decoder) length(most uint32) uint32 {
+	n := next(d, msgp.ReadArrayHeaderBytes)
+	if d.err == nil && n > most {
+		d.err = errRange
+	}
+	if d.err != nil {
+		return 0
+	}
+	return n
+}
+
+// fields decodes the length of an array that stands for a type with n fields.
+func (d *decoder) fields(n uint32) {
+	if count := next(d, msgp.ReadArrayHeaderBytes); d.err == nil && count != n {
+		d.err = errFields
+	}
+}
+
+func (d *decoder) notice() *Notice {
+	if d.err != nil {
+		return nil
+	}
+	if msgp.IsNil(d.rest) {
+		d.rest, d.err = msgp.ReadNilBytes(d.rest)
+		return nil
+	}
+	d.fields(noticeFields)
+	return &Notice{
+		ID: d.string(), Born: d.int64(),
+		Notice: notice.Notice{Limited: d.bool(), Rate: d.float64(), Leaving: d.bool()},
+	}
+}
+
+// end returns the first error, which may be that something follows the message.
+func (d *decoder) end() error {
+	if d.err == nil && len(d.rest) > 0 {
+		d.err = errTrailing
+	}
+	return d.err
+}
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -63,9 +63,8 @@
 
 // Offer asks a node to run a request on its backend server.
 type Offer struct {
-	_          struct{} `cbor:",toarray"`
-	ID         uint64   // offer ID, chosen by the sender, unique on a connection
-	Request    string   // request ID
+	ID         uint64 // offer ID, chosen by the sender, unique on a connection
+	Request    string // request ID
 	Service    string
 	Route      message.Route
 	Priority   priority.Priority
@@ -83,8 +82,7 @@
 
 // Answer is the final reply to an offer.
 type Answer struct {
-	_           struct{} `cbor:",toarray"`
-	ID          uint64   // offer ID
+	ID          uint64 // offer ID
 	Outcome     outcome.Outcome
 	Reason      outcome.Reason
 	Sent        bool          // the request reached the backend server
@@ -104,9 +102,8 @@
 // each answer to an offer while it holds. The receiver sends it back with its own
 // offers, so that a restarted node knows it before its server answers.
 type Notice struct {
-	_      struct{} `cbor:",toarray"`
-	ID     string   // ID of the server
-	Born   int64    // start of the server, Unix milliseconds by its clock
+	ID     string // ID of the server
+	Born   int64  // start of the server, Unix milliseconds by its clock
 	Notice notice.Notice
 }
 
@@ -118,7 +115,6 @@
 // ServiceCalls is the mean number of calls to a service that one run causes,
 // directly and further downstream.
 type ServiceCalls struct {
-	_       struct{} `cbor:",toarray"`
 	Service string
 	Calls   float32
 }
@@ -200,14 +196,18 @@
 // AppendWithoutBody appends a frame with the message v to dst, up to its body of
 // the given size, which has to follow.
 func AppendWithoutBody[T any](dst []byte, kind Kind, v T, bodySize int) ([]byte, error) {
-	encoded, err := message.Encode(v)
+	start := len(dst)
+	var prefix [lengthBytes + headerBytes]byte
+	encoded, err := message.Append(append(dst, prefix[:]...), v)
 	if err != nil {
 		return dst, err
 	}
-	dst = binary.BigEndian.AppendUint32(dst, uint32(headerBytes+len(encoded)+bodySize))
-	dst = append(dst, byte(kind))
-	dst = binary.BigEndian.AppendUint32(dst, uint32(len(encoded)))
-	return append(dst, encoded...), nil
+	size := len(encoded) - start - len(prefix)
+	head := encoded[start:]
+	binary.BigEndian.PutUint32(head, uint32(headerBytes+size+bodySize))
+	head[lengthBytes] = byte(kind)
+	binary.BigEndian.PutUint32(head[lengthBytes+1:], uint32(size))
+	return encoded, nil
 }
 
 // maxControlBytes is the maximum size of a message. It holds the entries of 7,200
--- a/pkg/message/codec.go
+++ b/pkg/message/codec.go
@@ -21,8 +21,39 @@
 	decoder = mustDecoder()
 )
 
-// Encode returns the CBOR form of v, or a *CodecError.
+// Appender is a message that encodes itself in place of CBOR.
+type Appender interface {
+	// AppendTo appends the encoded message to dst.
+	AppendTo(dst []byte) []byte
+}
+
+// Decoder is an Appender that is decoded.
+type Decoder interface {
+	// DecodeFrom decodes the message from data, which is not retained.
+	DecodeFrom(data []byte) error
+}
+
+// Append appends the encoded form of v to dst: its own, if it or its pointer is an
+// Appender, else CBOR. The error is a *CodecError.
+func Append[T any](dst []byte, v T) ([]byte, error) {
+	if a, ok := any(v).(Appender); ok {
+		return a.AppendTo(dst), nil
+	}
+	if a, ok := any(&v).(Appender); ok {
+		return a.AppendTo(dst), nil
+	}
+	data, err := Encode(v)
+	return append(dst, data...), err
+}
+
+// Encode returns the encoded form of v, as Append does.
 func Encode[T any](v T) ([]byte, error) {
+	if a, ok := any(v).(Appender); ok {
+		return a.AppendTo(nil), nil
+	}
+	if a, ok := any(&v).(Appender); ok {
+		return a.AppendTo(nil), nil
+	}
 	data, err := encoder.Marshal(v)
 	if err != nil {
 		return nil, &CodecError{kind: fmt.Sprintf("%T", v), cause: err}
@@ -30,10 +61,16 @@
 	return data, nil
 }
 
-// Decode decodes a value from its CBOR form. It returns a *CodecError if data
+// Decode decodes a value from its encoded form. It returns a *CodecError if data
 // is not the encoding of exactly one value of type T.
 func Decode[T any](data []byte) (T, error) {
 	var v T
+	if d, ok := any(&v).(Decoder); ok {
+		if err := d.DecodeFrom(data); err != nil {
+			return v, &CodecError{kind: fmt.Sprintf("%T", v), cause: err}
+		}
+		return v, nil
+	}
 	if err := decoder.Unmarshal(data, &v); err != nil {
 		return v, &CodecError{kind: fmt.Sprintf("%T", v), cause: err}
 	}
