--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -287,8 +287,8 @@
 }
 
 // check closes unresponsive links, and pings those on which a response is pending and
-// nothing has arrived for a while. It counts checks instead of elapsed time, so that a pause of this
-// process does not count as silence of the other nodes.
+// nothing has arrived for a while. It counts checks instead of elapsed time, so that a
+// pause of this process does not count as silence of the other nodes.
 func (m *Mesh) check() {
 	for _, l := range m.Links() {
 		if !m.handler.ResponsePending(l) {
