Collect garbage before released content exceeds the budget

That is memory beyond the budget, which can end a process at its limit.

Cause: the budget counts what is in use. The collector paces itself by what it finds alive, which includes all that arrives while it runs. Where other processes delay it, frames that arrive without a pause are released faster than they are reclaimed.

Change: the budget also counts what has been released since the last collection, and has the collector run before more is read once that is an eighth of the budget. A collection by itself resets the count.

--- a/pkg/memory/budget.go
+++ b/pkg/memory/budget.go
@@ -46,13 +46,17 @@
 	peak     int64
 	held     [HolderCount]int64
 	arriving map[*account]func() // revocable claims, with what ends their transfer
+	garbage  garbage
 	revoked  int64
 	refused  int64
 }
 
 // New returns a budget of limit bytes.
 func New(limit int64) *Budget {
-	return &Budget{limit: limit, arriving: make(map[*account]func())}
+	return &Budget{
+		limit: limit, arriving: make(map[*account]func()),
+		garbage: garbage{max: max(minGarbage, int64(garbageFraction*float64(limit)))},
+	}
 }
 
 // Limit returns the size of the budget in bytes.
@@ -158,6 +162,12 @@
 	a := c.account
 	b := a.budget
 	b.mu.Lock()
+	// Frames that wait to be written are claimed under the lock of their link.
+	for a.holder != Queue && b.garbage.bytes >= b.garbage.max {
+		b.mu.Unlock()
+		b.collectGarbage()
+		b.mu.Lock()
+	}
 	var revocations []func()
 	fits := !a.revoked
 	for fits && b.used+int64(n) > b.limit {
@@ -220,6 +230,9 @@
 
 // add changes the size of the account. The caller must hold the lock of the budget.
 func (a *account) add(n int64) {
+	if n < 0 {
+		a.budget.garbage.bytes -= n
+	}
 	a.size += n
 	a.budget.held[a.holder] += n
 	a.budget.used += n
