Check for overdue exchanges when one is due, not ten times a second

Cause: while a node had a connection to its server, a timer looked every 100 ms for requests past their deadline. Each timer wakes the process, and the runtime's monitor thread with it, whether or not there is a request.

Change: the check is scheduled for the first deadline of the running requests, at least 100 ms after the last one.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -63,8 +63,10 @@
 	// Writes to a connection are serialized, so a request written in a single
 	// call cannot interleave with the next one.
 	c.exchange, c.written = e, e.request.size() <= maxInlineWrite
-	c.deadline = now.Add(e.request.Timeout + responseGrace)
+	deadline := now.Add(e.request.Timeout + responseGrace)
+	c.deadline = deadline
 	c.mu.Unlock()
+	c.pool.scheduleSweep(now, deadline)
 	err := e.request.write(c.net)
 	c.mu.Lock()
 	c.written = c.written || err == nil
@@ -130,14 +132,20 @@
 	return keep
 }
 
-// closeOverdue closes the connection if its exchange has passed its deadline.
-func (c *conn) closeOverdue(now time.Time) {
+// closeOverdue closes the connection if its exchange has passed its deadline. Otherwise
+// it returns the deadline, or zero if there is no exchange.
+func (c *conn) closeOverdue(now time.Time) time.Time {
 	c.mu.Lock()
-	overdue := c.exchange != nil && now.After(c.deadline)
+	isIdle, deadline := c.exchange == nil, c.deadline
 	c.mu.Unlock()
-	if overdue {
+	switch {
+	case isIdle:
+		return time.Time{}
+	case now.After(deadline):
 		c.close()
+		return time.Time{}
 	}
+	return deadline
 }
 
 func (c *conn) current() *Exchange {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -32,7 +32,7 @@
 	// responseGrace extends the time-out of a request, so that a response that
 	// the server sends at its deadline still arrives.
 	responseGrace = 20 * time.Millisecond
-	// sweepInterval is the interval between two checks for overdue exchanges.
+	// sweepInterval is the least interval between two checks for overdue exchanges.
 	// A shared timer saves a timer and its wake-up for each exchange.
 	sweepInterval = 100 * time.Millisecond
 	// maxInlineWrite is the size up to which a request is written by the
@@ -108,13 +108,14 @@
 	maxBody int
 	budget  *memory.Budget // for the bodies of responses; nil if they are unlimited
 
-	mu             sync.Mutex
-	idle           []*conn          // ordered by last use, the most recent one last
-	known          *history.History // IDs of requests
-	all            map[*conn]struct{}
-	sweepScheduled bool
-	dialed         int
-	reused         int
+	mu         sync.Mutex
+	idle       []*conn          // ordered by last use, the most recent one last
+	known      *history.History // IDs of requests
+	all        map[*conn]struct{}
+	sweepAt    time.Time // when the next sweep is due; zero if none is scheduled
+	sweepTimer *time.Timer
+	dialed     int
+	reused     int
 }
 
 // Option sets a property of a Pool.
@@ -207,10 +208,6 @@
 	p.mu.Lock()
 	p.all[c] = struct{}{}
 	p.dialed++
-	if !p.sweepScheduled {
-		p.sweepScheduled = true
-		time.AfterFunc(sweepInterval, p.sweep)
-	}
 	p.mu.Unlock()
 	go c.readLoop()
 	return c
@@ -242,22 +239,45 @@
 	return nil
 }
 
-// sweep closes connections with overdue exchanges, and schedules the next sweep
-// while there are connections.
+// scheduleSweep schedules a sweep for an exchange with the given deadline, unless one is
+// due before it or shortly after.
+func (p *Pool) scheduleSweep(now, deadline time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at := deadline
+	if least := now.Add(sweepInterval); at.Before(least) {
+		at = least
+	}
+	if !p.sweepAt.IsZero() && p.sweepAt.Before(at.Add(sweepInterval)) {
+		return
+	}
+	p.sweepAt = at
+	if p.sweepTimer == nil {
+		p.sweepTimer = time.AfterFunc(at.Sub(now), p.sweep)
+		return
+	}
+	p.sweepTimer.Reset(at.Sub(now))
+}
+
+// sweep closes the connections with overdue exchanges, and schedules the next sweep for
+// the first of the other ones.
 func (p *Pool) sweep() {
 	now := time.Now()
 	p.mu.Lock()
+	p.sweepAt = time.Time{}
 	conns := make([]*conn, 0, len(p.all))
 	for c := range p.all {
 		conns = append(conns, c)
 	}
-	p.sweepScheduled = len(conns) > 0
 	p.mu.Unlock()
+	var first time.Time
 	for _, c := range conns {
-		c.closeOverdue(now)
+		if deadline := c.closeOverdue(now); !deadline.IsZero() && (first.IsZero() || deadline.Before(first)) {
+			first = deadline
+		}
 	}
-	if len(conns) > 0 {
-		time.AfterFunc(sweepInterval, p.sweep)
+	if !first.IsZero() {
+		p.scheduleSweep(now, first)
 	}
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"runtime"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
@@ -197,6 +199,33 @@
 	require.True(t, a.NotRun)
 }
 
+// Guards against waiting for an unresponsive server until the deadline of another
+// request: one timer serves them all.
+func TestDeadlinesInAnyOrder(t *testing.T) {
+	const (
+		margin = 400 * time.Millisecond // 220 ms of it are the pool's
+		short  = 100 * time.Millisecond
+		long   = 1500 * time.Millisecond
+	)
+	for name, timeouts := range map[string][]time.Duration{"short first": {short, long}, "long first": {long, short}} {
+		t.Run(name, func(t *testing.T) {
+			p, _ := serve(t, func(int, string, net.Conn) bool { return true })
+			var all sync.WaitGroup
+			for i, timeout := range timeouts {
+				all.Go(func() {
+					begun := time.Now()
+					assert.Error(t, do(p, fmt.Sprint(i), timeout).Err)
+					took := time.Since(begun)
+					assert.GreaterOrEqual(t, took, timeout)
+					assert.Less(t, took, timeout+margin)
+				})
+				time.Sleep(10 * time.Millisecond)
+			}
+			all.Wait()
+		})
+	}
+}
+
 // Guards against reporting a request as sent although the server refuses
 // connections.
 func TestUnreachableServer(t *testing.T) {
