Send fewer frames when nodes start

Cause: what nodes tell each other at their start grows with the square of their number, and each write wakes a process. A node wrote its entry and its digest to each other node one after the other, announced its server twice (before its health check, and a millisecond later after it), and encoded the same announcement once a link.

Change: frames that belong together are written together; a server that is not ready yet is not announced; an announcement is encoded once.

TestJoinedFramesAndBroadcast needs the new functions.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -115,6 +115,30 @@
 		l.mu.Unlock()
 		return false
 	}
+	return l.queue(kind, data, before, body)
+}
+
+// Broadcast sends a message without a body over several links. It is encoded once.
+func Broadcast[T any](links []*Link, kind frame.Kind, v T) {
+	encoded, err := frame.Append(nil, kind, v, nil)
+	if err != nil {
+		return
+	}
+	for _, l := range links {
+		l.mu.Lock()
+		if l.closed || l.ended {
+			l.mu.Unlock()
+			continue
+		}
+		before := len(l.pending.data)
+		l.queue(kind, append(l.pending.data, encoded...), before, nil)
+	}
+}
+
+// queue replaces the pending data, which grows from before, by data and flushes it
+// unless another sender is already doing so. The body follows. It returns false if there
+// is no memory. The caller must hold l.mu; queue unlocks it.
+func (l *Link) queue(kind frame.Kind, data []byte, before int, body *payload.Body) bool {
 	isCopied := body.Len() <= maxCopiedBody
 	if isCopied {
 		data = body.AppendTo(data)
@@ -142,6 +166,21 @@
 	return true
 }
 
+// Join has the frames that send sends over the link written together.
+func (l *Link) Join(send func()) {
+	l.mu.Lock()
+	if l.flushing || l.closed {
+		l.mu.Unlock()
+		send()
+		return
+	}
+	l.flushing = true
+	l.mu.Unlock()
+	send()
+	l.mu.Lock()
+	l.flush()
+}
+
 // claimQueue claims memory for pending frames whose size grows from before to
 // after. A withdrawal always gets it: it is small, there is at most one for each
 // offer, and without it the other node would go on with the request. The caller must
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -84,6 +84,41 @@
 	return ln
 }
 
+// Guards against a write, and a process that wakes at the other end, for each of the
+// frames that belong together, and against a broadcast that leaves out a link.
+func TestJoinedFramesAndBroadcast(t *testing.T) {
+	const nodes, joined = 3, 4
+	m := peer.NewMesh(&handler{})
+	defer m.Close()
+	var others [nodes]handler
+	var links []*peer.Link
+	for i := range others {
+		ln := listen(t, "127.0.0.1:0")
+		go peer.NewMesh(&others[i]).Accept(ln) //nolint:errcheck // returns when the listener is closed
+		m.Connect(t.Context(), ln.Addr().String())
+		require.Eventually(t, func() bool { return m.Link(ln.Addr().String()) != nil }, timeout, pollInterval)
+		links = append(links, m.Link(ln.Addr().String()))
+	}
+	links[0].Join(func() {
+		for i := range joined {
+			require.True(t, peer.Send(links[0], frame.KindCancel, frame.Cancel{ID: uint64(i)}, nil))
+		}
+	})
+	require.Equal(t, uint64(1), m.Traffic().Writes())
+	peer.Broadcast(links, frame.KindCancel, frame.Cancel{ID: joined})
+	require.Equal(t, uint64(1+nodes), m.Traffic().Writes())
+	require.Equal(t, uint64(joined+nodes), m.Traffic().Frames(frame.KindCancel))
+	for i := range others {
+		require.Eventually(t, func() bool {
+			others[i].mu.Lock()
+			defer others[i].mu.Unlock()
+			n := len(others[i].canceled)
+			return n > 0 && others[i].canceled[n-1] == joined
+		}, timeout, pollInterval)
+	}
+	require.Equal(t, []uint64{0, 1, 2, 3, joined}, others[0].canceled)
+}
+
 // Guards against frames that are lost, corrupted or duplicated when several
 // goroutines send on one link.
 func TestFramesOfConcurrentSenders(t *testing.T) {
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -55,11 +55,13 @@
 	}
 	suspicions := n.quarantine.Snapshot(time.Now(), nil)
 	n.mu.Unlock()
-	if len(suspicions) > 0 {
-		peer.Send(l, frame.KindSuspicions, frame.Suspicions{Suspicions: suspicions}, nil)
-	}
-	peer.Send(l, frame.KindEntries, frame.Entries{Entries: entries}, nil)
-	peer.Send(l, frame.KindDigest, digest, nil)
+	l.Join(func() {
+		if len(suspicions) > 0 {
+			peer.Send(l, frame.KindSuspicions, frame.Suspicions{Suspicions: suspicions}, nil)
+		}
+		peer.Send(l, frame.KindEntries, frame.Entries{Entries: entries}, nil)
+		peer.Send(l, frame.KindDigest, digest, nil)
+	})
 }
 
 // LinkDown ends the offers of a closed link in both directions. Offers that this
@@ -377,20 +379,23 @@
 }
 
 // announceEntry sends the changed local entry to all linked nodes and schedules
-// its write to the log. The caller must hold n.mu.
+// its write to the log. The other nodes need not know at once which server is about to
+// become ready: they learn of it when it is, or with the periodic comparison. The caller
+// must hold n.mu.
 func (n *Node) announceEntry(now time.Time) {
+	known, ok := n.registry.Get(n.self.Node)
 	n.self.Revision++
+	known.Revision, known.Instance, known.Born, known.Slots = n.self.Revision, n.self.Instance, n.self.Born, n.self.Slots
+	isAnnounced := !ok || known != n.self || n.self.State != readiness.Absent
 	n.registry.Merge(now, n.self)
 	self := n.self
 	n.journal.Write(event.EntryChanged, logrus.Fields{
 		"state": self.State.String(), "server": self.Instance, "slots": self.Slots,
 		"ending": self.Ending, "stopping": self.Stopping, "revision": self.Revision,
 	})
-	go func() {
-		for _, l := range n.mesh.Links() {
-			peer.Send(l, frame.KindEntries, frame.Entries{Entries: []registry.Entry{self}}, nil)
-		}
-	}()
+	if isAnnounced {
+		go func() { peer.Broadcast(n.mesh.Links(), frame.KindEntries, frame.Entries{Entries: []registry.Entry{self}}) }()
+	}
 	n.signalEntryChange()
 }
 
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -282,9 +282,7 @@
 		return (ok && e.Domain == n.self.Domain) != ownDomain
 	})
 	n.mu.Unlock()
-	for _, l := range links {
-		peer.Send(l, frame.KindDigest, d, nil)
-	}
+	peer.Broadcast(links, frame.KindDigest, d)
 }
 
 // maintainEntry writes the local entry to the log whenever it changes, or when the
--- a/internal/sidecar/suspicions.go
+++ b/internal/sidecar/suspicions.go
@@ -59,11 +59,7 @@
 	if len(changes) == 0 {
 		return
 	}
-	go func() {
-		for _, l := range n.mesh.Links() {
-			peer.Send(l, frame.KindSuspicions, frame.Suspicions{Suspicions: changes}, nil)
-		}
-	}()
+	go func() { peer.Broadcast(n.mesh.Links(), frame.KindSuspicions, frame.Suspicions{Suspicions: changes}) }()
 }
 
 // mergeSuspicions merges suspicions received from another node.
