Use the buffers of connections again, and decode header sections in place

Cause: of the bytes that a node allocates where clients open a connection for each request, a fifth are the read buffers of connections, and the header section of each offer and answer is copied out of the frame, which nobody else uses.

Change: buffers come from pools, for clients and for servers, without their content. The decoded header section is the part of the frame.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -71,11 +71,19 @@
 	defer c.server.remove(c)
 	defer c.claim.Release()
 	defer c.conn.Close() //nolint:errcheck // the connection is discarded
-	c.reader = bufio.NewReaderSize(c.source, readBufferSize)
+	reader := readers.Get().(*bufio.Reader)
+	defer readers.Put(reader)
+	defer reader.Reset(nil)
+	reader.Reset(c.source)
+	c.reader = reader
 	for c.serveRequest() {
 	}
 }
 
+// readers holds the buffers of connections that have ended, *bufio.Reader of
+// readBufferSize. Many clients open a connection for each request.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+
 // serveRequest handles one request and reports whether the connection stays
 // open for another.
 func (c *client) serveRequest() bool {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -93,7 +93,10 @@
 
 // readLoop reads responses until the connection ends.
 func (c *conn) readLoop() {
-	r := bufio.NewReaderSize(c.net, readBufferSize)
+	r := readers.Get().(*bufio.Reader)
+	defer readers.Put(r)
+	defer r.Reset(nil)
+	r.Reset(c.net)
 	h := &fasthttp.ResponseHeader{}
 	for c.completeNext(r, h) {
 	}
@@ -101,6 +104,10 @@
 	c.pool.remove(c)
 }
 
+// readers holds the buffers of connections that have ended, *bufio.Reader of
+// readBufferSize.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
+
 // completeNext waits for a response, completes the exchange and reports whether
 // the connection can be reused.
 func (c *conn) completeNext(r *bufio.Reader, h *fasthttp.ResponseHeader) bool {
--- a/pkg/frame/codec.go
+++ b/pkg/frame/codec.go
@@ -49,7 +49,7 @@
 	return o.Notice.appendTo(dst)
 }
 
-// DecodeFrom decodes the offer from data, which it does not retain.
+// DecodeFrom decodes the offer from data, of which it keeps a part.
 func (o *Offer) DecodeFrom(data []byte) error {
 	d := decoder{rest: data}
 	d.fields(offerFields)
@@ -94,7 +94,7 @@
 	return a.Notice.appendTo(dst)
 }
 
-// DecodeFrom decodes the answer from data, which it does not retain.
+// DecodeFrom decodes the answer from data, of which it keeps a part.
 func (a *Answer) DecodeFrom(data []byte) error {
 	d := decoder{rest: data}
 	d.fields(answerFields)
@@ -158,8 +158,10 @@
 func (d *decoder) float64() float64 { return next(d, msgp.ReadFloat64Bytes) }
 func (d *decoder) string() string   { return next(d, msgp.ReadStringBytes) }
 
+// bytes decodes a byte string, which is a part of the message.
 func (d *decoder) bytes() []byte {
-	return next(d, func(b []byte) ([]byte, []byte, error) { return msgp.ReadBytesBytes(b, nil) })
+	b := next(d, msgp.ReadBytesZC)
+	return b[:len(b):len(b)]
 }
 
 // length decodes the length of an array, of most elements at the most.
--- a/pkg/message/codec.go
+++ b/pkg/message/codec.go
@@ -29,7 +29,7 @@
 
 // Decoder is an Appender that is decoded.
 type Decoder interface {
-	// DecodeFrom decodes the message from data, which is not retained.
+	// DecodeFrom decodes the message from data, which it may keep.
 	DecodeFrom(data []byte) error
 }
 
