Check links without a table of checks

Cause: four times a second each link was looked up in three tables under two locks, also if something had arrived on it.

Change: the result of the last check is part of the link, and whether a response is pending is asked only if nothing has arrived.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -43,6 +43,8 @@
 	progress atomic.Uint64 // reads, and writes of large bodies
 	traffic  *Traffic
 	budget   *memory.Budget // nil if there is none
+	// lastCheck is accessed only by Mesh.check.
+	lastCheck check
 
 	mu            sync.Mutex
 	pending       batch  // frames that are not yet written
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -63,7 +63,6 @@
 	outbound map[string]*Link
 	inbound  map[*Link]struct{}
 	closed   bool
-	checks   map[*Link]check
 }
 
 // check is the result of the last liveness check of a link.
@@ -85,7 +84,6 @@
 		targets:  make(map[string]context.CancelFunc),
 		outbound: make(map[string]*Link),
 		inbound:  make(map[*Link]struct{}),
-		checks:   make(map[*Link]check),
 	}
 	for _, o := range options {
 		o(m)
@@ -178,7 +176,6 @@
 	err := l.readFrames(m.handler)
 	m.mu.Lock()
 	delete(m.outbound, l.address)
-	delete(m.checks, l)
 	m.mu.Unlock()
 	l.Close()
 	m.handler.LinkDown(l, err)
@@ -291,37 +288,21 @@
 // pause of this process does not count as silence of the other nodes.
 func (m *Mesh) check() {
 	for _, l := range m.Links() {
-		if !m.handler.ResponsePending(l) {
-			m.record(l, check{progress: l.progress.Load()})
+		n := l.progress.Load()
+		if n != l.lastCheck.progress || !m.handler.ResponsePending(l) {
+			l.lastCheck = check{progress: n}
 			continue
 		}
-		m.mu.Lock()
-		last := m.checks[l]
-		m.mu.Unlock()
-		if n := l.progress.Load(); n != last.progress {
-			m.record(l, check{progress: n})
-			continue
-		}
-		last.silentChecks++
-		m.record(l, last)
-		if last.silentChecks >= maxSilentChecks {
+		l.lastCheck.silentChecks++
+		switch l.lastCheck.silentChecks {
+		case maxSilentChecks:
 			l.Close()
-			continue
-		}
-		if last.silentChecks == pingCheck {
+		case pingCheck:
 			Send(l, frame.KindPing, frame.Ping{}, nil)
 		}
 	}
 }
 
-func (m *Mesh) record(l *Link, c check) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.outbound[l.address] == l {
-		m.checks[l] = c
-	}
-}
-
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
