--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -47,8 +48,20 @@
 	clear(r.services)
 	for _, c := range candidates {
 		s := r.state(c.Node)
-		s.slots, s.sameDomain = c.Slots, c.SameDomain
-		r.services[c.Service] = append(r.services[c.Service], s)
+		s.service, s.slots, s.sameDomain = c.Service, c.Slots, c.SameDomain
+	}
+	// Choose reads the servers of a service one after the other, so they are neighbors
+	// in memory.
+	ordered := slices.SortedFunc(maps.Values(r.servers), func(a, b *server) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.node, b.node))
+	})
+	states := make([]server, len(ordered))
+	for i, s := range ordered {
+		states[i] = *s
+		r.servers[s.node] = &states[i]
+	}
+	for _, c := range candidates {
+		r.services[c.Service] = append(r.services[c.Service], r.servers[c.Node])
 	}
 }
 
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -38,6 +38,7 @@
 // server is the state of one backend server as seen by this node.
 type server struct {
 	node       string
+	service    string
 	slots      int
 	sameDomain bool
 	report     Report
