--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -394,7 +394,9 @@
 		"ending": self.Ending, "stopping": self.Stopping, "revision": self.Revision,
 	})
 	if isAnnounced {
-		go func() { peer.Broadcast(n.mesh.Links(), frame.KindEntries, frame.Entries{Entries: []registry.Entry{self}}) }()
+		go func() {
+			peer.Broadcast(n.mesh.Links(), frame.KindEntries, frame.Entries{Entries: []registry.Entry{self}})
+		}()
 	}
 	n.signalEntryChange()
 }
