Wait for the addresses of the previous process at a start

What an operator sees: a node that is started while its predecessor is in its grace period ends by itself at once, with event 604, and again at each further start until the predecessor has gone.

Cause: an address that is in use ended the start. Class: a process ends at something that passes by itself.

Change: the start tries again for the grace period and the second that a restart takes, logs that once (event 605), and ends with 604 after it. A signal to stop ends the wait.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -41,6 +41,7 @@
 	SettingsReloaded      = register(602, logrus.InfoLevel, "settings reloaded")
 	SettingsRejected      = register(603, logrus.WarnLevel, "settings rejected")
 	NodeFailed            = register(604, logrus.ErrorLevel, "node failed")
+	AddressInUse          = register(605, logrus.WarnLevel, "address in use")
 	ConfigurationChanged  = register(610, logrus.InfoLevel, "active configuration changed")
 	ConfigurationRejected = register(611, logrus.WarnLevel, "configuration rejected")
 	LogUnavailable        = register(620, logrus.WarnLevel, "platform log unavailable")
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -19,7 +21,10 @@
 	defer cancel()
 	defer n.mesh.Close()
 	n.ctx = ctx
-	listeners, err := n.listen(ctx)
+	listeners, err := n.listen(ctx, stop)
+	if errors.Is(err, errStopped) {
+		return nil
+	}
 	if err != nil {
 		return err
 	}
@@ -41,8 +46,37 @@
 	return nil
 }
 
+// errStopped means that the process was told to stop before it could listen.
+var errStopped = errors.New("sidecar: stopped before the start")
+
+// addressPollInterval is how often a node that starts tries to listen at an address that
+// is in use.
+const addressPollInterval = 50 * time.Millisecond
+
+// awaitAddress listens at an address. The previous process of the instance may still use
+// it, for as long as its grace period lasts. The error is errStopped if stop is closed
+// meanwhile.
+func (n *Node) awaitAddress(ctx context.Context, stop <-chan struct{}, address string, detectDeadPeers bool) (net.Listener, error) {
+	limit := n.started.Add(n.env.GracePeriod + restartSlack)
+	for isLogged := false; ; isLogged = true {
+		ln, err := socket.Listen(ctx, address, detectDeadPeers)
+		now := time.Now()
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || now.After(limit) {
+			return ln, err
+		}
+		if !isLogged {
+			n.journal.Write(event.AddressInUse, logrus.Fields{"listener": address, "wait_ms": limit.Sub(now).Milliseconds()})
+		}
+		select {
+		case <-stop:
+			return nil, errStopped
+		case <-time.After(addressPollInterval):
+		}
+	}
+}
+
 // listen opens all listeners and starts serving them.
-func (n *Node) listen(ctx context.Context) ([]net.Listener, error) {
+func (n *Node) listen(ctx context.Context, stop <-chan struct{}) ([]net.Listener, error) {
 	var listeners []net.Listener
 	for _, s := range []struct {
 		address         string
@@ -55,7 +89,7 @@
 		{metricsAddress(n.env.PeerAddr.Addr().String()), false, n.serveAuxiliary(n.metrics)},
 		{n.env.CallerAddr.String(), false, n.clients.Serve},
 	} {
-		ln, err := socket.Listen(ctx, s.address, s.detectDeadPeers)
+		ln, err := n.awaitAddress(ctx, stop, s.address, s.detectDeadPeers)
 		if err != nil {
 			for _, l := range listeners {
 				l.Close() //nolint:errcheck // the process is exiting
