Bound the wait for the last log lines by time, not by polls

Cause: the wait counted its polls of 5 ms. Where many processes share a processor each takes several times as long, and the wait with it, at the exit of a node whose grace period is nearly over.

That this wait was the cause is by likeness, not shown.

--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -137,7 +137,8 @@
 const flushPollInterval = 5 * time.Millisecond
 
 func (w *asyncWriter) flush(d time.Duration) {
-	for ; d > 0; d -= flushPollInterval {
+	// Where many processes share a processor, each poll takes several intervals.
+	for end := time.Now().Add(d); time.Now().Before(end); {
 		w.mu.Lock()
 		idle := len(w.buffered) == 0 && !w.writing
 		w.mu.Unlock()
