Keep what most requests need inside their records

Change: a body of one segment needs no list of its own, and neither does a request with up to two offers.

--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -49,8 +49,15 @@
 	configVersion   uint64          // configuration version that routed the request
 	results         chan *offerResult
 	lastRun         run // of the latest offer that ended without the answer of a server
+
+	// Room for triedNodes and openOffers. Most requests have one offer.
+	triedRoom [usualOffers]string
+	offerRoom [usualOffers]uint64
 }
 
+// usualOffers is the number of offers that few requests exceed.
+const usualOffers = 2
+
 // windowState is the state of a window for the log.
 type windowState struct {
 	size, inFlight int
@@ -72,6 +79,7 @@
 		deadline:       r.ReceivedAt.Add(timeout),
 		results:        make(chan *offerResult, maxOffersPerRequest+1),
 	}
+	req.triedNodes, req.openOffers = req.triedRoom[:0], req.offerRoom[:0]
 	root, _, _ := strings.Cut(id, ".")
 	method := r.Header.Method()
 	req.offer = frame.Offer{
--- a/pkg/payload/body.go
+++ b/pkg/payload/body.go
@@ -23,6 +23,7 @@
 // copied. A nil body is empty.
 type Body struct {
 	segments [][]byte
+	first    [1][]byte // room for the segments of a small body
 	size     int
 	claim    *memory.Claim
 }
@@ -32,7 +33,9 @@
 	if len(data) == 0 && c == nil {
 		return nil
 	}
-	return &Body{segments: [][]byte{data}, size: len(data), claim: c}
+	b := &Body{first: [1][]byte{data}, size: len(data), claim: c}
+	b.segments = b.first[:]
+	return b
 }
 
 // Len returns the size in bytes.
@@ -141,6 +144,9 @@
 
 func (b *Body) add(segment []byte) {
 	if len(segment) > 0 {
+		if b.segments == nil {
+			b.segments = b.first[:0]
+		}
 		b.segments = append(b.segments, segment)
 		b.size += len(segment)
 	}
