--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -121,7 +121,7 @@
 func Broadcast[T any](links []*Link, kind frame.Kind, v T) {
 	encoded, err := frame.Append(nil, kind, v, nil)
 	if err != nil {
-		return
+		return // a message of package frame that cannot be encoded is a mistake found by its tests
 	}
 	for _, l := range links {
 		l.mu.Lock()
