--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -117,11 +117,12 @@
 	return l.queue(kind, data, before, body)
 }
 
-// Broadcast sends a message without a body over several links. It is encoded once.
+// Broadcast sends a message without a body over several links. It is encoded once. Like a
+// message that Send refuses, one for which a link has no memory is not sent over it.
 func Broadcast[T any](links []*Link, kind frame.Kind, v T) {
 	encoded, err := frame.Append(nil, kind, v, nil)
 	if err != nil {
-		return // a message of package frame that cannot be encoded is a mistake found by its tests
+		return // as in Send, nothing is sent
 	}
 	for _, l := range links {
 		l.mu.Lock()
