Serve customers: keys, uploads, and one route of an unknown kind

Customers and their keys were not read at all, and keys were passed on to servers. A node without a configuration stayed for 5.6 s after SIGTERM, since requests that wait for a configuration arrive all the time. The log line of a malformed request quoted it.

Change: an upload is not repeatable; neither is a route of an unknown kind, which is logged (event 612) instead of rejecting the document: an operator who uses a kind of a later version would otherwise take down every node that starts. TestDecodeInvalid expected that rejection; TestDecodeUnknownKind takes its place. Keys and routes are one table, replaced at once. The node sets Tenant-Id, drops the key, and answers 401 to a request without a key of the configuration in force, or 503 while that may not be the newest one: digests tell how long ago the configuration was confirmed. The importance of a customer precedes that of the route. A stopping node does not wait for a configuration.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -44,6 +44,7 @@
 	AddressInUse          = register(605, logrus.WarnLevel, "address in use")
 	ConfigurationChanged  = register(610, logrus.InfoLevel, "active configuration changed")
 	ConfigurationRejected = register(611, logrus.WarnLevel, "configuration rejected")
+	RouteRestricted       = register(612, logrus.WarnLevel, "route served in a restricted way")
 	LogUnavailable        = register(620, logrus.WarnLevel, "platform log unavailable")
 	LogRecovered          = register(621, logrus.InfoLevel, "platform log available again")
 	LogRestored           = register(622, logrus.WarnLevel, "platform log restored from a copy")
@@ -68,4 +69,5 @@
 	MemoryExhausted       = register(658, logrus.WarnLevel, "memory budget exhausted")
 	OfferWithdrawn        = register(659, logrus.InfoLevel, "offer withdrawn")
 	RunCut                = register(660, logrus.WarnLevel, "run cut at the exit")
+	KeyRejected           = register(661, logrus.InfoLevel, "request without a valid key")
 )
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -55,7 +55,15 @@
 		n.stats.unrouted.Inc(1)
 		return ingress.Response{Status: fasthttp.StatusNotFound, Head: n.codec.AppendRequestID(nil, id)}
 	}
-	req := n.newRequest(id, timeout, route, r)
+	from, failure := n.identify(table, route, r.Header)
+	switch failure {
+	case identified:
+	case unconfirmed:
+		return n.refuse(n.newRequest(id, timeout, route, sender{hasKeys: true}, r), outcome.Unavailable)
+	default:
+		return n.rejectKey(id, route, failure)
+	}
+	req := n.newRequest(id, timeout, route, from, r)
 	req.configVersion = table.Version()
 	if reason := n.admit(req); reason != outcome.None {
 		return n.refuse(req, reason)
@@ -85,10 +93,11 @@
 }
 
 // awaitConfiguration returns the routing table. After a start it waits briefly
-// for the first one; the result is nil if none arrives or the client leaves.
+// for the first one; the result is nil if none arrives or the client leaves. A stopping
+// node does not wait: with requests that wait all the time it would never be idle.
 func (n *Node) awaitConfiguration(disconnected <-chan struct{}) *routing.Table {
 	for range configurationPolls {
-		if t := n.table.Load(); t != nil {
+		if t := n.table.Load(); t != nil || n.isStopping() {
 			return t
 		}
 		select {
@@ -100,6 +109,13 @@
 	return n.table.Load()
 }
 
+// isStopping reports whether the node has received the signal to stop.
+func (n *Node) isStopping() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stopping
+}
+
 // findRoute returns the route that matches the host and path of a request.
 func findRoute(t *routing.Table, h *fasthttp.RequestHeader) *routing.Route {
 	path, _, _ := strings.Cut(string(h.RequestURI()), "?")
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -48,7 +49,8 @@
 		return logrus.Fields{"node": l.Address()}
 	})
 	n.mu.Lock()
-	digest := frame.Digest{Version: n.digest().Version, Generation: n.logGeneration}
+	digest := n.digest(time.Now())
+	digest.Entries = 0
 	entries := []registry.Entry{n.self}
 	if e, ok := n.registry.Get(l.Address()); ok {
 		entries = append(entries, e)
@@ -235,11 +237,16 @@
 	return fault.Call(func() (T, error) { return message.Decode[T](data) })
 }
 
-// digest returns the digest of the node entries and the configuration version.
-func (n *Node) digest() frame.Digest {
+// digest returns the digest of the node entries and the configuration version. The
+// caller must hold n.mu.
+func (n *Node) digest(now time.Time) frame.Digest {
 	d := frame.Digest{Entries: n.registry.Digest(), Generation: n.logGeneration}
 	if t := n.table.Load(); t != nil {
 		d.Version = t.Version()
+		if t.HasCustomers() {
+			age, known := n.freshness.Age(now, d.Version)
+			d.Confirmed, d.Age = known, uint32(min(age.Milliseconds(), math.MaxUint32))
+		}
 	}
 	return d
 }
@@ -251,7 +258,11 @@
 func (n *Node) reconcile(now time.Time, l *peer.Link, d frame.Digest) {
 	n.mu.Lock()
 	n.observeGeneration(d.Generation)
-	local := n.digest()
+	n.freshness.Announce(d.Version)
+	if d.Confirmed {
+		n.freshness.Confirm(now.Add(-time.Duration(d.Age)*time.Millisecond), d.Version)
+	}
+	local := n.digest(now)
 	rawConfiguration := n.rawConfiguration
 	var summary []uint64
 	if d.Entries != 0 && local.Entries != d.Entries {
@@ -419,7 +430,7 @@
 				continue
 			}
 			n.mu.Lock()
-			d := n.digest()
+			d := n.digest(now)
 			n.readiness.Tick(now)
 			replies := n.applyReadiness(now, nil)
 			n.broadcastSuspicions(now)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -32,6 +32,8 @@
 	retries        metrics.Counter
 	malformed      metrics.Counter
 	unrouted       metrics.Counter
+	unauthorized   metrics.Counter // requests without a valid API key
+	unconfirmed    metrics.Counter // requests with a key that only a newer configuration may have
 	offersRefused  metrics.Counter
 	delayed        metrics.Counter // offers that were delayed on their link
 	withdrawn      metrics.Counter // offers that were withdrawn while queued or running here
@@ -58,6 +60,8 @@
 		retries:        counter("requests_retried"),
 		malformed:      counter("requests_malformed"),
 		unrouted:       counter("requests_unrouted"),
+		unauthorized:   counter("requests_unauthorized"),
+		unconfirmed:    counter("requests_unconfirmed"),
 		offersRefused:  counter("offers_refused"),
 		delayed:        counter("offers_delayed"),
 		withdrawn:      counter("offers_withdrawn"),
@@ -114,7 +118,7 @@
 	line("nodes", int64(n.registry.Len()))
 	line("links", int64(len(n.mesh.Links())))
 	line("log_generation", int64(n.logGeneration))
-	line("configuration_version", int64(n.digest().Version))
+	line("configuration_version", int64(n.digest(time.Now()).Version))
 }
 
 // reportHistogram reports the number of durations and their quantiles in microseconds.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"github.com/papayapath/papayapath/internal/environment"
 	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/internal/ingress"
 	"github.com/papayapath/papayapath/internal/journal"
 	"github.com/papayapath/papayapath/internal/peer"
@@ -20,6 +22,7 @@
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/callgraph"
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/freshness"
 	"github.com/papayapath/papayapath/pkg/intake"
 	"github.com/papayapath/papayapath/pkg/keyed"
 	"github.com/papayapath/papayapath/pkg/latency"
@@ -27,6 +30,7 @@
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/payload"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/registry"
@@ -42,7 +46,10 @@
 type HeaderCodec interface {
 	upstream.HeaderCodec
 	Request(h *fasthttp.RequestHeader) (id string, wait time.Duration)
-	AppendRequestHead(dst []byte, h *fasthttp.RequestHeader, origin string) []byte
+	Key(h *fasthttp.RequestHeader) (key []byte, ok bool)
+	AppendChallenge(dst []byte) []byte
+	AppendRequestHead(dst []byte, h *fasthttp.RequestHeader, origin string, withoutKey bool) []byte
+	AppendCustomer(dst []byte, name string) []byte
 	AppendAttemptFields(dst []byte, wait time.Duration, instance string, body int, hasBody bool) []byte
 	AppendRequestID(dst []byte, id string) []byte
 	InstanceID(h *fasthttp.ResponseHeader) string
@@ -99,6 +106,7 @@
 
 	mu                 sync.Mutex
 	rawConfiguration   []byte // encoded configuration in force
+	freshness          freshness.Freshness
 	requestedVersion   uint64 // configuration version last requested from another node
 	requestedAt        time.Time
 	self               registry.Entry
@@ -220,14 +228,30 @@
 	return routing.New(0).Limits()
 }
 
-// MalformedRequest records a request that was refused because it is malformed.
+// MalformedRequest records a request that was refused because it is malformed. The log
+// line does not quote it, since it may hold the API key of a customer.
 func (n *Node) MalformedRequest(err error) {
 	n.stats.malformed.Inc(1)
 	n.journal.WriteSampled(time.Now(), event.RequestMalformed, func() logrus.Fields {
-		return logrus.Fields{"detail": err.Error()}
+		return logrus.Fields{"detail": malformedDetail(err)}
 	})
 }
 
+// malformedDetail describes why a request is malformed. The errors of the HTTP library
+// quote parts of the request.
+func malformedDetail(err error) string {
+	var small *fasthttp.ErrSmallBuffer
+	var unclear *framing.Error
+	var exhausted *memory.ExhaustedError
+	switch {
+	case errors.As(err, &small):
+		return "header section too large"
+	case errors.As(err, &unclear), errors.As(err, &exhausted), errors.Is(err, payload.ErrTooLarge):
+		return err.Error()
+	}
+	return "not a valid HTTP request"
+}
+
 // RefuseRequest returns the response to a request that was not received because
 // there is no memory for it.
 func (n *Node) RefuseRequest(h *fasthttp.RequestHeader, receivedAt time.Time, err error) ingress.Response {
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -101,6 +101,7 @@
 			retry.reset()
 			position.Advance(before, log.Generation(), end)
 			n.applyRecords(records)
+			n.confirmConfiguration(confirmedAt(start, time.Now(), pollTimeout(rank), len(records)))
 			if !n.sleep(minReadInterval - time.Since(start)) {
 				return
 			}
@@ -122,13 +123,32 @@
 	}
 }
 
+// confirmedAt returns a time at which the log had no records beyond those of a read.
+func confirmedAt(start, end time.Time, wait time.Duration, records int) time.Time {
+	if at := start.Add(wait); records == 0 && at.Before(end) {
+		return at
+	}
+	return start
+}
+
+// confirmConfiguration records that the configuration in force was the newest one at the
+// given time.
+func (n *Node) confirmConfiguration(at time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if t := n.table.Load(); t != nil {
+		n.freshness.Confirm(at, t.Version())
+	}
+}
+
 // recordGeneration records the generation that the log states. If it has risen,
 // the other nodes of the failure domain are told at once, and all others learn of
 // it with the periodic digests.
 func (n *Node) recordGeneration() {
 	n.mu.Lock()
 	restored := n.observeGeneration((*n.log.Load()).Generation())
-	d := frame.Digest{Version: n.digest().Version, Generation: n.logGeneration}
+	d := n.digest(time.Now())
+	d.Entries = 0
 	n.mu.Unlock()
 	if restored {
 		n.sendDigest(d, true)
@@ -244,16 +264,23 @@
 		n.mu.Unlock()
 		return
 	}
+	n.freshness.Announce(t.Version())
 	n.table.Store(t)
 	n.rawConfiguration = append([]byte(nil), rawConfiguration...)
 	d := frame.Digest{Version: t.Version()}
 	n.mu.Unlock()
-	n.journal.Write(event.ConfigurationChanged, logrus.Fields{"version": t.Version(), "from_log": fromLog})
+	n.journal.Write(event.ConfigurationChanged, logrus.Fields{"version": t.Version(), "from_log": fromLog, "customers": t.Keyring().Len()})
+	for _, w := range t.Warnings()[:min(len(t.Warnings()), maxLoggedWarnings)] {
+		n.journal.Write(event.RouteRestricted, logrus.Fields{"version": t.Version(), "detail": w})
+	}
 	if fromLog {
 		n.announceConfiguration(d)
 	}
 }
 
+// maxLoggedWarnings bounds the log lines for one configuration.
+const maxLoggedWarnings = 10
+
 // configurationSizeError reports a configuration that is too large to be decoded.
 type configurationSizeError struct{ size int }
 
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/pkg/customer"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/payload"
@@ -26,6 +27,7 @@
 	id              string
 	client          *ingress.Request
 	route           *routing.Route
+	customer        *customer.Customer // on whose behalf the request is made, nil if none is known
 	routeKey        message.Route
 	service         string
 	offer           frame.Offer
@@ -64,7 +66,13 @@
 	queueDelay     time.Duration
 }
 
-func (n *Node) newRequest(id string, timeout time.Duration, route *routing.Route, r *ingress.Request) *request {
+// sender is what the configuration tells of the sender of a request.
+type sender struct {
+	customer *customer.Customer // nil if the request has no key
+	hasKeys  bool               // customers are configured
+}
+
+func (n *Node) newRequest(id string, timeout time.Duration, route *routing.Route, from sender, r *ingress.Request) *request {
 	clientDeadline := r.ReceivedAt.Add(timeout)
 	if t := route.Timeout(); t > 0 && t < timeout {
 		timeout = t
@@ -74,6 +82,7 @@
 		id:             id,
 		client:         r,
 		route:          route,
+		customer:       from.customer,
 		body:           r.Body,
 		arrival:        r.ReceivedAt,
 		deadline:       r.ReceivedAt.Add(timeout),
@@ -82,15 +91,24 @@
 	req.triedNodes, req.openOffers = req.triedRoom[:0], req.offerRoom[:0]
 	root, _, _ := strings.Cut(id, ".")
 	method := r.Header.Method()
+	rank := priority.New(route.Level(), root)
+	head := n.codec.AppendRequestHead(make([]byte, 0, 256), r.Header, n.env.Service, from.hasKeys)
+	switch {
+	case from.customer != nil:
+		rank = rank.WithCustomer(from.customer.Level())
+		head = n.codec.AppendCustomer(head, from.customer.Name())
+	case from.hasKeys:
+		rank = rank.WithCustomer(customer.DefaultLevel)
+	}
 	req.offer = frame.Offer{
 		Request:    id,
-		Priority:   priority.New(route.Level(), root),
+		Priority:   rank,
 		Repeatable: route.Repeatable(),
 		HasBody:    req.body.Len() > 0 || string(method) != fasthttp.MethodGet && string(method) != fasthttp.MethodHead,
 		HeadOnly:   r.Header.IsHead(),
 		Origin:     n.env.Service,
 		Content:    contentHash(r.Header, req.body),
-		Head:       n.codec.AppendRequestHead(make([]byte, 0, 256), r.Header, n.env.Service),
+		Head:       head,
 	}
 	return req
 }
@@ -157,6 +175,9 @@
 		"offers": req.offerCount, "sends": req.serverAttempts, "nodes": strings.Join(req.triedNodes, ","),
 		"age_ms": time.Since(req.arrival).Milliseconds(),
 	}
+	if req.customer != nil {
+		f["customer"] = req.customer.Name()
+	}
 	if w := req.rejection; w != nil {
 		f["window"], f["open"], f["delay_ms"] = w.size, w.inFlight, w.queueDelay.Milliseconds()
 	}
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -145,6 +145,10 @@
 	// Generation is the highest generation of the platform log that the sender
 	// has heard of, 0 if none.
 	Generation uint64
+	// Confirmed reports whether Version is known to have been the newest one Age
+	// milliseconds ago. It is false where no customers are configured.
+	Confirmed bool
+	Age       uint32
 }
 
 // Summary answers a digest that differs from that of the sender. The receiver
--- /dev/null
+++ b/pkg/freshness/doc.go
@@ -0,0 +1,2 @@
+// Package freshness tells whether the configuration in force may be out of date.
+package freshness
--- /dev/null
+++ b/pkg/keyring/doc.go
@@ -0,0 +1,2 @@
+// Package keyring finds the customer that holds an API key.
+package keyring
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -4,14 +4,13 @@
 	"math/bits"
 	"time"
 
-	"github.com/papayapath/papayapath/pkg/importance"
 	"github.com/papayapath/papayapath/pkg/priority"
 )
 
 const (
 	// ranks is the number of distinct priorities. A priority above the highest
 	// importance comes only from a faulty peer and maps to the highest rank.
-	ranks = (int(importance.Critical) + 1) * priority.Steps
+	ranks = int(priority.Count)
 	// wordBits is the number of bits in a word of the occupancy bitmap.
 	wordBits = 64
 	// none is the nil index of the linked lists.
@@ -199,6 +198,9 @@
 
 // highest returns the highest occupied rank, or none.
 func (q *Queue[T]) highest() int {
+	if q.size == 0 {
+		return none
+	}
 	for w := len(q.occupied) - 1; w >= 0; w-- {
 		if q.occupied[w] != 0 {
 			return w*wordBits + wordBits - 1 - bits.LeadingZeros64(q.occupied[w])
@@ -209,6 +211,9 @@
 
 // lowest returns the lowest occupied rank, or none.
 func (q *Queue[T]) lowest() int {
+	if q.size == 0 {
+		return none
+	}
 	for w, word := range q.occupied {
 		if word != 0 {
 			return w*wordBits + bits.TrailingZeros64(word)
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -12,6 +12,7 @@
 	name        string
 	prefix      string
 	repeatable  bool
+	open        bool
 	level       importance.Level
 	timeout     time.Duration
 	objective   time.Duration
@@ -33,6 +34,9 @@
 // WithRepeatable sets whether a request may run more than once.
 func WithRepeatable(yes bool) RouteOption { return func(r *Route) { r.repeatable = yes } }
 
+// WithOpen sets whether requests need no API key.
+func WithOpen(yes bool) RouteOption { return func(r *Route) { r.open = yes } }
+
 // WithLevel sets the importance of the requests.
 func WithLevel(l importance.Level) RouteOption { return func(r *Route) { r.level = l } }
 
@@ -70,6 +74,9 @@
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool { return r.repeatable }
 
+// Open reports whether requests need no API key.
+func (r *Route) Open() bool { return r.open }
+
 // Level returns the importance of the requests.
 func (r *Route) Level() importance.Level { return r.level }
 
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/papayapath/papayapath/pkg/keyring"
 )
 
 // Table holds the routes, services and limits of one configuration version.
@@ -13,6 +15,8 @@
 	hosts    map[string][]*Route // longest prefix first
 	services map[string]Service
 	limits   Limits
+	keys     *keyring.Keyring
+	warnings []string
 }
 
 // Service is the configuration of the servers of one service.
@@ -45,6 +49,16 @@
 	return func(t *Table) { t.services[name] = s }
 }
 
+// WithKeyring sets the customers and their API keys. Requests on routes that are not
+// open need a key if there are customers.
+func WithKeyring(k *keyring.Keyring) Option { return func(t *Table) { t.keys = k } }
+
+// WithWarning adds a warning about a part of the configuration that is served in a
+// restricted way.
+func WithWarning(text string) Option {
+	return func(t *Table) { t.warnings = append(t.warnings, text) }
+}
+
 // WithLimits sets the limits on client requests.
 func WithLimits(l Limits) Option { return func(t *Table) { t.limits = l } }
 
@@ -55,6 +69,7 @@
 		hosts:    make(map[string][]*Route),
 		services: make(map[string]Service),
 		limits:   defaultLimits,
+		keys:     &keyring.Keyring{},
 	}
 	for _, o := range options {
 		o(t)
@@ -86,6 +101,15 @@
 	return s, ok
 }
 
+// Keyring returns the customers and their API keys.
+func (t *Table) Keyring() *keyring.Keyring { return t.keys }
+
+// HasCustomers reports whether requests are made on behalf of customers.
+func (t *Table) HasCustomers() bool { return t.keys.Len() > 0 }
+
+// Warnings returns what is served in a restricted way.
+func (t *Table) Warnings() []string { return t.warnings }
+
 // Lookup returns the route of host with the longest prefix of path, or nil if
 // none matches.
 func (t *Table) Lookup(host, path string) *Route {
