Let the client of the platform log append under a condition

Cause: the allocation of customers' limits needs records that only one of two writers can write; the client appended without a condition, to partition 0 only.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -61,6 +61,10 @@
 	Newest(topic string) (records []keyed.Record, end int64, err error)
 	Read(topic string, from int64, wait time.Duration) (records []keyed.Record, end int64, err error)
 	Put(topic, key string, value []byte) error
+	// NewestIn and AppendAt use a partition of a topic. AppendAt appends a record only
+	// if the partition ends at an offset, and returns its new end.
+	NewestIn(topic string, partition int) (records []keyed.Record, end int64, err error)
+	AppendAt(topic string, partition int, key string, value []byte, at int64) (end int64, err error)
 	// Generation returns a number that rises when the log has lost records that
 	// it had accepted, and 0 while it is unknown.
 	Generation() uint64
@@ -80,6 +84,9 @@
 	// IsOffsetOutOfRange reports whether a log error means that the records at
 	// the requested position have been deleted.
 	IsOffsetOutOfRange func(err error) bool
+	// IsConflict reports whether a log error means that a partition does not end at the
+	// offset that was the condition of an append.
+	IsConflict func(err error) bool
 }
 
 // Node accepts client requests and executes offers on the local backend server.
