Move the shares of customers' rates below pkg/node

Cause: pkg/quota and pkg/allocator become the tokens of customers' limits; the earlier core still uses shares. Change: both packages move to pkg/node/shares, with no other change. Result: none to measure.

--- a/internal/lab/capacity/decisions.go
+++ b/internal/lab/capacity/decisions.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/quota"
+	"github.com/papayapath/papayapath/pkg/node/shares/quota"
 )
 
 // callsPerRound is the number of timed calls in a round.
--- a/internal/lab/capacity/node.go
+++ b/internal/lab/capacity/node.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"github.com/papayapath/papayapath/pkg/allocator"
 	"github.com/papayapath/papayapath/pkg/declarations"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/membership"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/node"
+	"github.com/papayapath/papayapath/pkg/node/shares/allocator"
 	"github.com/papayapath/papayapath/pkg/stream"
 )
 
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -11,7 +11,7 @@
 	"github.com/papayapath/papayapath/pkg/contract"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/quota"
+	"github.com/papayapath/papayapath/pkg/node/shares/quota"
 )
 
 const (
--- a/pkg/node/control.go
+++ b/pkg/node/control.go
@@ -5,11 +5,11 @@
 	"slices"
 	"time"
 
-	"github.com/papayapath/papayapath/pkg/allocator"
 	"github.com/papayapath/papayapath/pkg/declarations"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/membership"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/node/shares/allocator"
 	"github.com/papayapath/papayapath/pkg/stream"
 )
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/acceptor"
-	"github.com/papayapath/papayapath/pkg/allocator"
 	"github.com/papayapath/papayapath/pkg/callgraph"
 	"github.com/papayapath/papayapath/pkg/declarations"
 	"github.com/papayapath/papayapath/pkg/dispatcher"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/membership"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/node/shares/allocator"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 )
 
--- a/pkg/allocator/allocator_test.go
+++ b/pkg/node/shares/allocator/allocator_test.go
@@ -10,10 +10,10 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/papayapath/papayapath/pkg/allocator"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/quota"
+	"github.com/papayapath/papayapath/pkg/node/shares/allocator"
+	"github.com/papayapath/papayapath/pkg/node/shares/quota"
 )
 
 const (
--- a/pkg/quota/quota_test.go
+++ b/pkg/node/shares/quota/quota_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/quota"
+	"github.com/papayapath/papayapath/pkg/node/shares/quota"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
