Hold the requests of a customer within its limit over all nodes

Change: internal/ratelimit joins the decisions of pkg/quota, pkg/allocator and pkg/term with the links between nodes and the platform log. A request beyond the limit gets 429 with the time at which the customer has room.

--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -23,4 +23,8 @@
 	RetryBudgetRatio  float64        // retries allowed per request of a service
 	RetryBudgetSlack  float64        // retries allowed per window in addition to the ratio
 	RetryBudgetWindow time.Duration
+	QuotaWindow       time.Duration // window in which the requests of a customer are bounded
+	QuotaOverrun      float64       // by which the limit of a customer may be exceeded in a window
+	QuotaSlack        float64       // requests by which it may be exceeded in addition
+	FirstStart        bool          // the whole system starts for the first time
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,4 +70,6 @@
 	OfferWithdrawn        = register(659, logrus.InfoLevel, "offer withdrawn")
 	RunCut                = register(660, logrus.WarnLevel, "run cut at the exit")
 	KeyRejected           = register(661, logrus.InfoLevel, "request without a valid key")
+	TermChanged           = register(670, logrus.InfoLevel, "allocation of a part of the limits begun or ended")
+	AllocatorChanged      = register(671, logrus.InfoLevel, "allocator of a part of the limits changed")
 )
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -68,6 +68,11 @@
 	if reason := n.admit(req); reason != outcome.None {
 		return n.refuse(req, reason)
 	}
+	if reason := n.takeToken(req); reason != outcome.None {
+		req.delayUnknown = true
+		n.recordEnd(req)
+		return n.endUnanswered(req, reason)
+	}
 	reply := n.dispatch(req)
 	n.recordEnd(req)
 	return reply
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -57,12 +57,16 @@
 	}
 	suspicions := n.quarantine.Snapshot(time.Now(), nil)
 	n.mu.Unlock()
+	terms := n.limiter.Announcements()
 	l.Join(func() {
 		if len(suspicions) > 0 {
 			peer.Send(l, frame.KindSuspicions, frame.Suspicions{Suspicions: suspicions}, nil)
 		}
 		peer.Send(l, frame.KindEntries, frame.Entries{Entries: entries}, nil)
 		peer.Send(l, frame.KindDigest, digest, nil)
+		for _, a := range terms {
+			peer.Send(l, frame.KindTerm, frame.TermNotice{Part: a.Part, Record: a.Record, End: a.End}, nil)
+		}
 	})
 }
 
@@ -177,6 +181,21 @@
 		}
 	case frame.KindConfiguration:
 		n.applyConfiguration(f.Body.Bytes(), false)
+	case frame.KindTokenRequest:
+		var r frame.TokenRequest
+		if r, err = decodeMessage[frame.TokenRequest](head); err == nil {
+			n.grantTokens(l, r)
+		}
+	case frame.KindTokenGrant:
+		var g frame.TokenGrant
+		if g, err = decodeMessage[frame.TokenGrant](head); err == nil {
+			n.limiter.HandleGrant(g.ID, g.Granted, milliseconds(g.ValidityMS), milliseconds(g.WaitMS))
+		}
+	case frame.KindTerm:
+		var t frame.TermNotice
+		if t, err = decodeMessage[frame.TermNotice](head); err == nil {
+			n.limiter.HandleTerm(t.Part, t.Record, t.End)
+		}
 	case frame.KindSuspicions:
 		var s frame.Suspicions
 		if s, err = decodeMessage[frame.Suspicions](head); err == nil {
@@ -386,6 +405,7 @@
 		return
 	}
 	n.self.Incarnation = e.Incarnation + 1
+	n.limiter.SetIncarnation(n.self.Incarnation)
 	n.announceEntry(now)
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -107,6 +107,9 @@
 	line("peer_reads", int64(n.mesh.Traffic().Reads()))
 	line("peer_writes", int64(n.mesh.Traffic().Writes()))
 	n.reportBudget(line)
+	if n.limiterRuns.Load() {
+		n.reportLimiter(line)
+	}
 	for _, m := range append(readRuntime(), readProcessor()...) {
 		line(m.name, m.value)
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"github.com/papayapath/papayapath/internal/ingress"
 	"github.com/papayapath/papayapath/internal/journal"
 	"github.com/papayapath/papayapath/internal/peer"
+	"github.com/papayapath/papayapath/internal/ratelimit"
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/callgraph"
@@ -87,6 +88,8 @@
 	// IsConflict reports whether a log error means that a partition does not end at the
 	// offset that was the condition of an append.
 	IsConflict func(err error) bool
+	// IsRejected reports whether a log error means that a call had no effect.
+	IsRejected func(err error) bool
 }
 
 // Node accepts client requests and executes offers on the local backend server.
@@ -107,6 +110,8 @@
 	table        atomic.Pointer[routing.Table]
 	offerCount   atomic.Uint64 // number of offers sent, and ID of the latest
 	rewriteEntry atomic.Bool   // the platform log may have lost the local entry
+	limiter      *ratelimit.Limiter
+	limiterRuns  atomic.Bool // a configuration has had a customer with a limit
 
 	exiting       chan struct{} // closed when a stopping node exits
 	unsentAnswers atomic.Int64  // answers to offers that have not been passed on
@@ -210,6 +215,7 @@
 		Service:     env.Service,
 	}
 	n.registry.Merge(now, n.self)
+	n.limiter = n.newLimiter()
 	return n
 }
 
--- a/internal/sidecar/platformlog.go
+++ b/internal/sidecar/platformlog.go
@@ -269,6 +269,7 @@
 	n.rawConfiguration = append([]byte(nil), rawConfiguration...)
 	d := frame.Digest{Version: t.Version()}
 	n.mu.Unlock()
+	n.applyLimits(t)
 	n.journal.Write(event.ConfigurationChanged, logrus.Fields{"version": t.Version(), "from_log": fromLog, "customers": t.Keyring().Len()})
 	for _, w := range t.Warnings()[:min(len(t.Warnings()), maxLoggedWarnings)] {
 		n.journal.Write(event.RouteRestricted, logrus.Fields{"version": t.Version(), "detail": w})
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -41,8 +41,9 @@
 }
 
 // refuse returns a 503 response with Retry-After for a request that has not run
-// and will not run.
+// and will not run, or 429 if it is beyond the limit of its customer.
 func (n *Node) refuse(req *request, reason outcome.Reason) ingress.Response {
+	n.returnToken(req)
 	n.stats.refused.Inc(1)
 	now := time.Now()
 	n.journal.WriteSampled(now, event.RequestRefused, func() logrus.Fields {
@@ -54,12 +55,19 @@
 	header = append(header, "Retry-After: "...)
 	header = strconv.AppendFloat(header, n.retryAfter(now, req, reason).Seconds(), 'f', 3, 64)
 	header = append(header, "\r\n"...)
-	return ingress.Response{Status: fasthttp.StatusServiceUnavailable, Head: header}
+	status := fasthttp.StatusServiceUnavailable
+	if reason == outcome.Rate {
+		status = fasthttp.StatusTooManyRequests
+	}
+	return ingress.Response{Status: status, Head: header}
 }
 
 // retryAfter returns the Retry-After delay of a refused request. The request has
 // no route if there is no configuration.
 func (n *Node) retryAfter(now time.Time, req *request, reason outcome.Reason) time.Duration {
+	if reason == outcome.Rate {
+		return n.limiter.RetryAfter(req.customer.Name())
+	}
 	rejection := retryafter.Rejection{Remaining: req.clientDeadline.Sub(now), NoCapacity: isCapacityReason(reason)}
 	if req.route != nil {
 		rejection.Objective = req.route.Objective() - now.Sub(req.arrival)
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -10,6 +10,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/ingress"
+	"github.com/papayapath/papayapath/internal/ratelimit"
 	"github.com/papayapath/papayapath/pkg/customer"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -28,6 +29,8 @@
 	client          *ingress.Request
 	route           *routing.Route
 	customer        *customer.Customer // on whose behalf the request is made, nil if none is known
+	token           ratelimit.Token    // if hasToken, what the customer's limit admits it by
+	hasToken        bool
 	routeKey        message.Route
 	service         string
 	offer           frame.Offer
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -65,6 +65,9 @@
 	n.mu.Unlock()
 	n.journal.Write(event.NodeStopping, logrus.Fields{"grace_ms": n.env.GracePeriod.Milliseconds(), "requests": n.clients.ActiveRequests()})
 	n.clients.DisableKeepAlives()
+	if n.limiterRuns.Load() {
+		n.limiter.Stop()
+	}
 	for {
 		time.Sleep(stopPollInterval)
 		now := time.Now()
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -16,6 +16,7 @@
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/registry"
+	"github.com/papayapath/papayapath/pkg/term"
 )
 
 // Kind is the type of the message in a frame.
@@ -35,12 +36,16 @@
 	KindSummary                       // Summary
 	KindBuckets                       // Buckets
 	KindProgress                      // Ping; the sender is reading, and the receiver need not answer
+	KindTokenRequest                  // TokenRequest
+	KindTokenGrant                    // TokenGrant
+	KindTerm                          // TermNotice
 	KindCount                         // number of kinds, including the unused zero
 )
 
 // kindNames are the names of the kinds in metrics.
 var kindNames = [KindCount]string{
 	"invalid", "offer", "answer", "cancel", "entries", "digest", "configuration", "ping", "pong", "suspicions", "summary", "buckets", "progress",
+	"token_request", "token_grant", "term",
 }
 
 // String returns the name of the kind.
@@ -177,6 +182,34 @@
 	_ struct{} `cbor:",toarray"`
 }
 
+// TokenRequest asks the allocator of a part of all limits for tokens of a customer.
+type TokenRequest struct {
+	_        struct{} `cbor:",toarray"`
+	ID       uint64   // chosen by the sender, unique on a connection
+	Part     int
+	Customer string
+	Wanted   int
+}
+
+// TokenGrant answers a TokenRequest.
+type TokenGrant struct {
+	_          struct{} `cbor:",toarray"`
+	ID         uint64
+	IsHolder   bool // the sender may allocate tokens of the part
+	Granted    int
+	ValidityMS uint32 // how long the tokens are valid, from the sending of the request
+	WaitMS     uint32 // if none were granted, the time until the next request makes sense
+}
+
+// TermNotice tells which node allocates a part of all limits, as recorded in the platform
+// log.
+type TermNotice struct {
+	_      struct{} `cbor:",toarray"`
+	Part   int
+	Record term.Record
+	End    int64 // end of the partition of the log after the record
+}
+
 // Suspicions disseminates the requests suspected of crashing backend servers.
 type Suspicions struct {
 	_          struct{} `cbor:",toarray"`
--- a/pkg/keyring/keyring.go
+++ b/pkg/keyring/keyring.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"maps"
+	"slices"
 
 	"github.com/papayapath/papayapath/pkg/customer"
 )
@@ -84,5 +86,8 @@
 // Customer returns the customer with a name, or nil if there is none.
 func (k *Keyring) Customer(name string) *customer.Customer { return k.customers[name] }
 
+// All returns the customers in no particular order.
+func (k *Keyring) All() []*customer.Customer { return slices.Collect(maps.Values(k.customers)) }
+
 // Len returns the number of customers. Without any, requests need no key.
 func (k *Keyring) Len() int { return len(k.customers) }
