--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -105,6 +105,10 @@
 // can hold a part of which there is no record.
 func WithFirstStart(first bool) Option { return func(l *Limiter) { l.firstStart = first } }
 
+// WithClock sets the clock, which has to count the time for which the process is
+// suspended. The default is boottime.Now.
+func WithClock(now func() time.Time) Option { return func(l *Limiter) { l.clock = now } }
+
 // New returns the limiter of the node with the given address and incarnation.
 func New(self string, incarnation int64, bounds allocator.Bounds, n Network, log Log, o Observer, options ...Option) *Limiter {
 	l := &Limiter{
