Give precedence to kinds of request that are starved

Change: pkg/starvation compares how often each kind is served at an entry node. In force where the settings name the contract pool.

--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -27,4 +27,5 @@
 	QuotaOverrun      float64       // by which the limit of a customer may be exceeded in a window
 	QuotaSlack        float64       // requests by which it may be exceeded in addition
 	FirstStart        bool          // the whole system starts for the first time
+	Pool              bool          // requests compete for pools of servers that differ in speed
 }
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -11,6 +11,7 @@
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/ingress"
 	"github.com/papayapath/papayapath/pkg/allowance"
+	"github.com/papayapath/papayapath/pkg/importance"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/quarantine"
@@ -66,6 +67,7 @@
 	req := n.newRequest(id, timeout, route, from, r)
 	req.configVersion = table.Version()
 	if reason := n.admit(req); reason != outcome.None {
+		n.recordService(req, false)
 		return n.refuse(req, reason)
 	}
 	if reason := n.takeToken(req); reason != outcome.None {
@@ -75,9 +77,21 @@
 	}
 	reply := n.dispatch(req)
 	n.recordEnd(req)
+	n.recordService(req, reply.Status < fasthttp.StatusInternalServerError)
 	return reply
 }
 
+// recordService records whether a request of a client was served, unless the client has
+// left. Requests beyond the limit of their customer do not count.
+func (n *Node) recordService(req *request, served bool) {
+	if !n.env.Pool || req.offer.Nested || req.isDisconnected() {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.starvation.Record(time.Now(), req.routeKey, served)
+}
+
 // recordEnd adds the queue delay of a finished request to the execution that sent
 // it, or reports it to the window that counts the request. If the delay is
 // unknown, the window only releases the request.
@@ -173,6 +187,12 @@
 		return outcome.Draining
 	}
 	n.allowance(req.service).Request(now)
+	if n.env.Pool && n.starvation.IsStarved(now, req.routeKey) {
+		// Refusals and strict priority would leave it without any service.
+		n.stats.starved.Inc(1)
+		req.offer.Priority = req.offer.Priority.WithLevel(importance.Critical)
+		return outcome.None
+	}
 	w := n.window(req.routeKey, req.route)
 	switch {
 	case w.Admit(now):
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -38,6 +38,7 @@
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/starvation"
 	"github.com/papayapath/papayapath/pkg/transit"
 	"github.com/papayapath/papayapath/pkg/window"
 	"github.com/papayapath/papayapath/pkg/withdrawal"
@@ -134,6 +135,7 @@
 	latencies          map[message.Route]*latency.Estimator
 	runLatencies       map[message.Route]*latency.Estimator // of offers to the local backend server
 	windows            map[message.Route]*window.Window
+	starvation         *starvation.Detector[message.Route] // of the requests of clients, by route
 	roster             *roster.Roster
 	rosterRevision     uint64 // registry revision that the roster reflects
 	fanouts            map[message.Route][]frame.ServiceCalls
@@ -184,6 +186,7 @@
 		callGraph:        callgraph.New(),
 		latencies:        make(map[message.Route]*latency.Estimator),
 		windows:          make(map[message.Route]*window.Window),
+		starvation:       starvation.New[message.Route](),
 		roster:           roster.New(),
 		fanouts:          make(map[message.Route][]frame.ServiceCalls),
 		calledServices:   make(map[message.Route]string),
--- a/pkg/priority/priority.go
+++ b/pkg/priority/priority.go
@@ -40,6 +40,11 @@
 	return p%customerSteps + Priority(min(l, importance.Critical))*customerSteps
 }
 
+// WithLevel returns the priority of the request if its route has the given importance.
+func (p Priority) WithLevel(l importance.Level) Priority {
+	return p/customerSteps*customerSteps + Priority(min(l, importance.Critical))*Steps + p%Steps
+}
+
 // Level returns the importance of the route of the request.
 func (p Priority) Level() importance.Level { return importance.Level(p % customerSteps / Steps) }
 
--- a/pkg/priority/priority_test.go
+++ b/pkg/priority/priority_test.go
@@ -23,6 +23,8 @@
 			previous = int(p)
 		}
 	}
+	require.Equal(t, priority.New(importance.Critical, "abc").WithCustomer(importance.High),
+		priority.New(importance.Normal, "abc").WithCustomer(importance.High).WithLevel(importance.Critical))
 	p := priority.New(importance.High, "abc").WithCustomer(importance.Critical)
 	require.Equal(t, priority.New(importance.High, "abc").WithCustomer(importance.Normal), p.WithCustomer(importance.Normal))
 }
