Take no line for a status line that is none

Cause: only the status of a response was checked, not what precedes it. The body of an interim response with the status line of another one behind it ("abcHTTP/1.1 200 OK") was a success, and so were the lines of HTTP/0.9, HTTP/2 and of no HTTP at all; a reason phrase could hold a second line behind a bare carriage return. net/http takes all of these for malformed, but for the last. This affects all ways: servers, health checks, the store. Change: a status line begins with HTTP/1 and one digit and has no carriage return or zero byte. FuzzReadResponse compares each status with that of net/http; it passed over those below 100. Result: TestStatusLines and TestAfterInterimResponse fail without the check ("http/1.1 200 OK", and the body of an interim response).

--- a/internal/framing/response.go
+++ b/internal/framing/response.go
@@ -45,7 +45,8 @@
 		return err
 	}
 	line, fields, _ := bytes.Cut(section, []byte{'\n'})
-	if !hasStatus(bytes.TrimSuffix(line, []byte{'\r'})) {
+	line = bytes.TrimSuffix(line, []byte{'\r'})
+	if !isStatusLine(line) {
 		return &Error{reason: "has a malformed status line"}
 	}
 	if err := Check(fields); err != nil {
@@ -54,10 +55,15 @@
 	return h.Read(r)
 }
 
-// hasStatus reports whether a status line has a status of three digits, the first not
-// 0. Other implementations take another one for a success, or for two responses.
-func hasStatus(line []byte) bool {
-	_, rest, _ := bytes.Cut(line, []byte{' '})
+// isStatusLine reports whether a line begins a response of HTTP/1 with a status of three
+// digits, the first not 0. Other implementations take another line for a success, for a
+// part of the body or for two responses. A reason phrase may be missing.
+func isStatusLine(line []byte) bool {
+	version, rest, _ := bytes.Cut(line, []byte{' '})
+	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
+	if !ok || len(minor) != 1 || !isDigits(minor) || bytes.ContainsAny(rest, "\r\x00") {
+		return false
+	}
 	status, _, _ := bytes.Cut(rest, []byte{' '})
 	return len(status) == 3 && isDigits(status) && status[0] != '0'
 }
--- a/internal/framing/response_test.go
+++ b/internal/framing/response_test.go
@@ -24,6 +24,8 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nabcde",
 		"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\nabc", "HTTP/1.1 2 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 -200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 00000000000000000003\r\n\r\nabc",
+		"HTTP/1.1 999 X\r\n\r\n",
+		"HTTP/1.1 100 X\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.2 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551619\r\n\r\nabc", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\nContent-Length: 3\n\r\nabc",
 	} {
 		f.Add([]byte(seed), false)
@@ -50,10 +52,8 @@
 			if r.StatusCode/100 == 1 && r.StatusCode != http.StatusSwitchingProtocols {
 				continue
 			}
-			if r.StatusCode < http.StatusContinue {
-				return // TestInvalidStatus
-			}
 			require.Equal(t, r.StatusCode, h.StatusCode())
+			require.GreaterOrEqual(t, h.StatusCode(), 200)
 			expected, err := io.ReadAll(r.Body)
 			if err != nil && r.ContentLength >= 0 {
 				require.NoError(t, err)
@@ -75,10 +75,98 @@
 		"negative": "HTTP/1.1 -200 OK\r\nContent-Length: 0\r\n\r\n", "none": "HTTP/1.1 \r\nContent-Length: 0\r\n\r\n",
 	} {
 		t.Run(strings.ReplaceAll(name, " ", "_"), func(t *testing.T) {
-			var h fasthttp.ResponseHeader
-			claim := func(bool) *memory.Claim { return nil }
-			_, err := framing.ReadResponse(bufio.NewReader(strings.NewReader(message)), &h, false, maxBody, claim)
-			require.Error(t, err, "status %d", h.StatusCode())
+			_, _, err := readResponse(message, false)
+			require.Error(t, err)
 		})
 	}
 }
+
+// readResponse reads a response and returns its status and body.
+func readResponse(message string, headOnly bool) (status int, body string, err error) {
+	var h fasthttp.ResponseHeader
+	claim := func(bool) *memory.Claim { return nil }
+	b, err := framing.ReadResponse(bufio.NewReader(strings.NewReader(message)), &h, headOnly, maxBody, claim)
+	if err != nil {
+		return 0, "", err
+	}
+	return h.StatusCode(), string(b.Bytes()), nil
+}
+
+// Guards against a first line that is no status line, and behind which a caller gets a
+// success or another status than that of an HTTP client.
+func TestStatusLines(t *testing.T) {
+	const fields = "\r\nContent-Length: 3\r\n\r\nabc"
+	for line, expected := range map[string]int{
+		"HTTP/1.1 200":                    200,
+		"HTTP/1.1 200 ":                   200,
+		"HTTP/1.1 404 Not  Found":         404,
+		"HTTP/1.0 200 OK":                 200,
+		"HTTP/1.2 200 OK":                 200,
+		"HTTP/1.1 200 \xc3\xa4":           200,
+		"HTTP/1.1":                        0,
+		"HTTP/1.1 ":                       0,
+		"HTTP/1.1  200 OK":                0,
+		"HTTP/1.1\t200 OK":                0,
+		" HTTP/1.1 200 OK":                0,
+		"\r\nHTTP/1.1 200 OK":             0,
+		"HTTP/1.1 2 0 OK":                 0,
+		"HTTP/1.1 20x OK":                 0,
+		"HTTP/1.1 abc OK":                 0,
+		"HTTP/1.1 OK 200":                 0,
+		"HTTP/1.1 0x0 OK":                 0,
+		"HTTP/1.1 +20 OK":                 0,
+		"HTTP/1.1 -20 OK":                 0,
+		"HTTP/1.1 2.0 OK":                 0,
+		"HTTP/1.1 200OK":                  0,
+		"HTTP/1.1 200\tOK":                0,
+		"HTTP/1.1 200, 500":               0,
+		"HTTP/1.1 \uff12\uff10\uff10 OK":  0, // digits beside those of ASCII
+		"HTTP/1.1 200 OK\rHTTP/1.1 500 X": 0,
+		"HTTP/1.1 200 O\x00K":             0,
+		"HTTP/1 200 OK":                   0,
+		"HTTP/1.1.1 200 OK":               0,
+		"HTTP/1.10 200 OK":                0,
+		"HTTP/1.x 200 OK":                 0,
+		"HTTP/0.9 200 OK":                 0,
+		"HTTP/2.0 200 OK":                 0,
+		"HTTP/2 200 OK":                   0,
+		"http/1.1 200 OK":                 0,
+		"HTTPS/1.1 200 OK":                0,
+		"ICY 200 OK":                      0,
+		"xHTTP/1.1 200 OK":                0,
+		"200 OK":                          0,
+		"200 200 OK":                      0,
+		"x 200":                           0,
+	} {
+		for _, start := range []string{"", "HTTP/1.1 100 Continue\r\n\r\n"} {
+			for _, headOnly := range []bool{false, true} {
+				status, _, err := readResponse(start+line+fields, headOnly)
+				require.Equal(t, expected != 0, err == nil, "%q after %q: %v", line, start, err)
+				require.Equal(t, expected, status, "%q after %q", line, start)
+			}
+		}
+	}
+}
+
+// Guards against a final response that is made of what follows an interim one.
+func TestAfterInterimResponse(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+	for message, accepted := range map[string]bool{
+		"HTTP/1.1 100 Continue\r\n\r\n" + whole:                                 true,
+		"HTTP/1.1 100\r\n\r\nHTTP/1.1 103 Early Hints\r\n\r\n" + whole:          true,
+		"HTTP/1.1 100 Continue\r\nContent-Length: 0\r\n\r\n" + whole:            true,
+		"HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc" + whole:         false,
+		"HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\nabc\r\n" + whole:     false,
+		"HTTP/1.1 199 X\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + whole: false,
+		"HTTP/1.1 100 Continue\r\n\r\n":                                         false,
+		"HTTP/1.1 199 X\r\nContent-Length: 3\r\n\r\nabc":                        false,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 X\r\n\r\n" + whole:           false,
+	} {
+		status, body, err := readResponse(message, false)
+		require.Equal(t, accepted, err == nil, "%q: %v", message, err)
+		if accepted {
+			require.Equal(t, 200, status, message)
+			require.Equal(t, "abc", body, message)
+		}
+	}
+}
