Take nothing behind a switch of protocols for a response

Cause: 101 was skipped like other interim responses, so what a server sent behind it, in a protocol that nobody asked for, became the final response if it looked like one. For net/http 101 is final. Change: a response with 101 is an error. Result: the two rows with 101 of TestAfterInterimResponse; the first fails without the change.

--- a/internal/framing/response.go
+++ b/internal/framing/response.go
@@ -26,6 +26,9 @@
 		}
 		status := h.StatusCode()
 		switch {
+		case status == fasthttp.StatusSwitchingProtocols:
+			// What follows is another protocol, though it may look like a response.
+			return nil, &Error{reason: "switches to a protocol that was not asked for"}
 		case status/100 == 1:
 		case headOnly || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
 			return nil, nil
