Take no chunks in a response of HTTP/1.0

Cause: chunks in HTTP/1.0 were decoded; net/http passes on their lines as a part of the body. RFC 9112, section 6.1, calls such framing faulty. Change: such a response is an error.

--- a/internal/framing/response.go
+++ b/internal/framing/response.go
@@ -55,9 +55,20 @@
 	if err := Check(fields); err != nil {
 		return err
 	}
-	return h.Read(r)
+	if err := h.Read(r); err != nil {
+		return err
+	}
+	if bytes.HasPrefix(line, versionWithoutChunks) && h.ContentLength() == lengthChunked {
+		// RFC 9112, section 6.1: the framing is faulty. Some readers take the lines of
+		// the chunks for a part of the body.
+		return &Error{reason: "has chunks in a version without them"}
+	}
+	return nil
 }
 
+// versionWithoutChunks is the version before transfer codings.
+var versionWithoutChunks = []byte("HTTP/1.0 ")
+
 // isStatusLine reports whether a line begins a response of HTTP/1 with a status of three
 // digits, the first not 0. Other implementations take another line for a success, for a
 // part of the body or for two responses. A reason phrase may be missing.
--- a/internal/framing/response_test.go
+++ b/internal/framing/response_test.go
@@ -24,7 +24,7 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nabcde",
 		"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\nabc", "HTTP/1.1 2 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 -200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 00000000000000000003\r\n\r\nabc",
-		"HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
 		"HTTP/1.1 100 X\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.2 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551619\r\n\r\nabc", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\nContent-Length: 3\n\r\nabc",
 	} {
@@ -173,3 +173,14 @@
 		}
 	}
 }
+
+// Guards against chunks whose lines reach the caller as a part of the body, or the other
+// way round, because the version of the response has none.
+func TestChunksInVersionWithoutThem(t *testing.T) {
+	_, _, err := readResponse("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", false)
+	var e *framing.Error
+	require.ErrorAs(t, err, &e)
+	_, body, err := readResponse("HTTP/1.0 200 OK\r\n\r\nabc", false)
+	require.NoError(t, err)
+	require.Equal(t, "abc", body)
+}
