Take no status above 599 for an answer

Cause: statuses of 600 to 999 reached clients. HTTP does not define them (RFC 9110, section 15): a client shall process one as a 5xx, but a proxy that passes it on as final says that the server has answered, and what it has done is known to the server only. Programs use such numbers for errors of their own. Change: such a response is an error, as one without a status. The request ends as an unknown outcome, or is sent to another server if it is repeatable.

--- a/internal/framing/response.go
+++ b/internal/framing/response.go
@@ -69,9 +69,13 @@
 // versionWithoutChunks is the version before transfer codings.
 var versionWithoutChunks = []byte("HTTP/1.0 ")
 
-// isStatusLine reports whether a line begins a response of HTTP/1 with a status of three
-// digits, the first not 0. Other implementations take another line for a success, for a
-// part of the body or for two responses. A reason phrase may be missing.
+// maxStatusClass is the first digit of the highest status that HTTP defines (RFC 9110,
+// section 15). What a higher one says of the request is known to nobody but its server.
+const maxStatusClass = '5'
+
+// isStatusLine reports whether a line begins a response of HTTP/1 with a status of 100 to
+// 599. Other implementations take another line for a success, for a part of the body or
+// for two responses. A reason phrase may be missing.
 func isStatusLine(line []byte) bool {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
@@ -79,7 +83,7 @@
 		return false
 	}
 	status, _, _ := bytes.Cut(rest, []byte{' '})
-	return len(status) == 3 && isDigits(status) && status[0] != '0'
+	return len(status) == 3 && isDigits(status) && status[0] >= '1' && status[0] <= maxStatusClass
 }
 
 // peekHeader returns the next header section without consuming it.
--- a/internal/framing/response_test.go
+++ b/internal/framing/response_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -24,7 +25,7 @@
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx", "HTTP/1.1 204 No Content\r\nContent-Length: 5\r\n\r\nabcde",
 		"HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\n\r\nabc", "HTTP/1.1 2 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 -200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 00000000000000000003\r\n\r\nabc",
-		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 999 X\r\n\r\n",
 		"HTTP/1.1 100 X\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\n\r\n", "HTTP/1.2 200 OK\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 200 OK\r\nContent-Length: 18446744073709551619\r\n\r\nabc", "\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 200 OK\nContent-Length: 3\n\r\nabc",
 	} {
@@ -54,6 +55,7 @@
 			}
 			require.Equal(t, r.StatusCode, h.StatusCode())
 			require.GreaterOrEqual(t, h.StatusCode(), 200)
+			require.LessOrEqual(t, h.StatusCode(), 599)
 			expected, err := io.ReadAll(r.Body)
 			if err != nil && r.ContentLength >= 0 {
 				require.NoError(t, err)
@@ -92,6 +94,35 @@
 	return h.StatusCode(), string(b.Bytes()), nil
 }
 
+// Guards against a status beside 200 to 599 that reaches the caller, as the first
+// response, after an interim one, or after another response on the connection, with and
+// without a body. All statuses of up to four digits are tried.
+func TestRangeOfStatus(t *testing.T) {
+	const interim, whole = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc"
+	for status := range 10000 {
+		for _, digits := range []string{fmt.Sprint(status), fmt.Sprintf("%03d", status)} {
+			isFinal := len(digits) == 3 && status >= 200 && status <= 599
+			for _, start := range []string{"", interim} {
+				for _, body := range []string{"", "abc"} {
+					got, text, err := readResponse(fmt.Sprintf("%sHTTP/1.1 %s X\r\nContent-Length: %d\r\n\r\n%s", start, digits, len(body), body), false)
+					require.Equal(t, isFinal, err == nil, "%q after %q with %q: %v", digits, start, body, err)
+					if isFinal {
+						if status == 204 || status == 304 {
+							body = ""
+						}
+						require.Equal(t, status, got)
+						require.Equal(t, body, text, digits)
+					}
+				}
+			}
+			if isInterim := len(digits) == 3 && status >= 100 && status <= 199 && status != 101; !isFinal {
+				_, _, err := readResponse("HTTP/1.1 "+digits+" X\r\n\r\n"+whole, false)
+				require.Equal(t, isInterim, err == nil, "%q before an answer", digits)
+			}
+		}
+	}
+}
+
 // Guards against a first line that is no status line, and behind which a caller gets a
 // success or another status than that of an HTTP client.
 func TestStatusLines(t *testing.T) {
