Take no answer of another node with a status above 599

Cause: correctAnswer let statuses up to 999 through, since servers' answers with them were passed on. Change: an answer of another node is one with 200 to 599.

--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// maxStatus is the highest status of a response.
-const maxStatus = 999
+// maxStatus is the highest status that HTTP defines (RFC 9110, section 15).
+const maxStatus = 599
 
 // recordLatency records a latency of a route.
 func recordLatency(estimators map[message.Route]*latency.Estimator, key message.Route, d time.Duration) {
