Take no contradictory response for a refusal

Cause: a response with the field that says "not run" counted as that whatever else it was: a success, a redirection, or one that is invalid for its content coding. A server in trouble that sends such a response may have run the request, which was then sent to another server, an unsafe one too, or answered 503. Change: "not run" needs an error status and a valid response; the others are unknown outcomes. Result: TestContradictoryRefusal, whose four contradictory responses were "not run" before. TestInvalidStatusIsNoAnswer and TestHealthCheckWithInvalidStatus pass without the change; both fail without the check of the status line ("HTTP/1.1 000 OK"). TestInterimResponseIsNoAnswer is a guard only.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -231,10 +231,13 @@
 	switch {
 	case len(h.ContentEncoding()) > 0:
 		a.Err = &ResponseError{reason: "has an unsolicited content coding"}
+	case a.NotRun && a.Status < fasthttp.StatusBadRequest:
+		a.Err = &ResponseError{reason: "is no error, but says that the request was not run"}
 	case a.Status/100 == 2 && !hc.IsSigned(h):
 		a.Err = &ResponseError{reason: "has no signature"}
 	}
 	if a.Err != nil {
+		a.NotRun = false // an invalid response proves nothing
 		body.Release()
 		return a, false
 	}
