Check the status of answers at the product's own node, too

Cause: the node of the product's own interface reads answers with fasthttp, which takes 000 for 200, passes on 101 to 199 as final, and accepts 600 and more. Change: AwaitResponse, the check that ReadResponse makes, comes before it. Result: TestDoReportsInvalidStatusAsUnknown; without the change, answers with 000, 600 and 102 were complete.

--- a/internal/backend/backend.go
+++ b/internal/backend/backend.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/internal/gateway"
 	"github.com/papayapath/papayapath/internal/reply"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -77,6 +78,10 @@
 	if err := conn.writer.Flush(); err != nil {
 		return crashed, false
 	}
+	// fasthttp takes the status 000 for 200, and an interim response for the final one.
+	if err := framing.AwaitResponse(conn.reader); err != nil {
+		return crashed, false
+	}
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	response.StreamBody = true
--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -110,6 +110,54 @@
 	}
 }
 
+// respondRaw returns a client of a server that sends response to the first call, and
+// closes.
+func respondRaw(t *testing.T, response string) *backend.Backend {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 4096))
+		_, _ = conn.Write([]byte(response))
+		_ = conn.Close()
+	}()
+	return backend.New(listener.Addr().String())
+}
+
+// Guards against an answer with an invalid status that is passed on as one, 000 as
+// success, or an interim response as the final one.
+func TestDoReportsInvalidStatusAsUnknown(t *testing.T) {
+	const fields = "\r\nContent-Length: 4\r\n\r\nbody"
+	for start, expected := range map[string]int{
+		"HTTP/1.1 000 OK":                              0,
+		"HTTP/1.1 099 OK":                              0,
+		"HTTP/1.1 20 OK":                               0,
+		"HTTP/1.1 2000 OK":                             0,
+		"HTTP/1.1 600 X":                               0,
+		"HTTP/1.1 999 X":                               0,
+		"HTTP/1.1 101 Switching Protocols":             0,
+		"HTTP/1.1 102 Processing":                      0,
+		"HTTP/2.0 200 OK":                              0,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK": 0,
+		"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 404 Not Found": 404,
+		"HTTP/1.1 599 X":                               599,
+	} {
+		var got sink
+		answer := respondRaw(t, start+fields).Do(t.Context(), offer(), time.Now().Add(time.Minute), nil, &got)
+		if expected != 0 {
+			require.Equal(t, outcome.Complete, answer.Outcome, start)
+			require.Equal(t, expected, answer.Status, start)
+			continue
+		}
+		require.Equal(t, outcome.Unknown, answer.Outcome, start)
+		require.Nil(t, got.head, start)
+	}
+}
+
 // Guards against a run that goes on after its call was canceled or its
 // deadline has passed.
 func TestDoCancels(t *testing.T) {
--- a/internal/framing/response.go
+++ b/internal/framing/response.go
@@ -27,8 +27,7 @@
 		status := h.StatusCode()
 		switch {
 		case status == fasthttp.StatusSwitchingProtocols:
-			// What follows is another protocol, though it may look like a response.
-			return nil, &Error{reason: "switches to a protocol that was not asked for"}
+			return nil, errSwitched
 		case status/100 == 1:
 		case headOnly || status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified:
 			return nil, nil
@@ -39,51 +38,78 @@
 	return nil, &Error{reason: "follows too many interim responses"}
 }
 
+// AwaitResponse reads up to the next final response, and checks its header section, which
+// has to fit into the buffer of r, without reading it.
+func AwaitResponse(r *bufio.Reader) error {
+	var h fasthttp.ResponseHeader
+	for range maxInterimResponses + 1 {
+		status, err := checkHeader(r)
+		switch {
+		case err != nil:
+			return err
+		case status[0] != '1':
+			return nil
+		case string(status) == "101":
+			return errSwitched
+		}
+		if err := h.Read(r); err != nil {
+			return err
+		}
+	}
+	return &Error{reason: "follows too many interim responses"}
+}
+
+// errSwitched rejects a switch of protocols. What follows is another protocol, though it
+// may look like a response.
+var errSwitched = &Error{reason: "switches to a protocol that was not asked for"}
+
 // readHeader reads a header section, which has to fit into the buffer of r.
 func readHeader(r *bufio.Reader, h *fasthttp.ResponseHeader) error {
 	h.Reset()
 	h.SetNoDefaultContentType(true)
+	if _, err := checkHeader(r); err != nil {
+		return err
+	}
+	return h.Read(r)
+}
+
+// checkHeader checks the next header section without reading it, and returns its status.
+func checkHeader(r *bufio.Reader) (status []byte, err error) {
 	section, err := peekHeader(r)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	line, fields, _ := bytes.Cut(section, []byte{'\n'})
-	line = bytes.TrimSuffix(line, []byte{'\r'})
-	if !isStatusLine(line) {
-		return &Error{reason: "has a malformed status line"}
-	}
-	if err := Check(fields); err != nil {
-		return err
-	}
-	if err := h.Read(r); err != nil {
-		return err
-	}
-	if bytes.HasPrefix(line, versionWithoutChunks) && h.ContentLength() == lengthChunked {
+	status, ok := parseStatusLine(bytes.TrimSuffix(line, []byte{'\r'}))
+	switch {
+	case !ok:
+		return nil, &Error{reason: "has a malformed status line"}
+	case bytes.HasPrefix(line, versionWithoutCodings) && bytes.Contains(bytes.ToLower(section), []byte("\ntransfer-encoding:")):
 		// RFC 9112, section 6.1: the framing is faulty. Some readers take the lines of
 		// the chunks for a part of the body.
-		return &Error{reason: "has chunks in a version without them"}
+		return nil, &Error{reason: "has chunks in a version without them"}
 	}
-	return nil
+	return status, Check(fields)
 }
 
-// versionWithoutChunks is the version before transfer codings.
-var versionWithoutChunks = []byte("HTTP/1.0 ")
+// versionWithoutCodings is the version before transfer codings.
+var versionWithoutCodings = []byte("HTTP/1.0 ")
 
 // maxStatusClass is the first digit of the highest status that HTTP defines (RFC 9110,
 // section 15). What a higher one says of the request is known to nobody but its server.
 const maxStatusClass = '5'
 
-// isStatusLine reports whether a line begins a response of HTTP/1 with a status of 100 to
-// 599. Other implementations take another line for a success, for a part of the body or
-// for two responses. A reason phrase may be missing.
-func isStatusLine(line []byte) bool {
+// parseStatusLine returns the status of a line that begins a response of HTTP/1 with a
+// status of 100 to 599. Other implementations take another line for a success, for a part
+// of the body or for two responses. A reason phrase may be missing.
+func parseStatusLine(line []byte) (status []byte, ok bool) {
 	version, rest, _ := bytes.Cut(line, []byte{' '})
 	minor, ok := bytes.CutPrefix(version, []byte("HTTP/1."))
 	if !ok || len(minor) != 1 || !isDigits(minor) || bytes.ContainsAny(rest, "\r\x00") {
-		return false
+		return nil, false
 	}
-	status, _, _ := bytes.Cut(rest, []byte{' '})
-	return len(status) == 3 && isDigits(status) && status[0] >= '1' && status[0] <= maxStatusClass
+	status, _, _ = bytes.Cut(rest, []byte{' '})
+	return status, len(status) == 3 && isDigits(status) && status[0] >= '1' && status[0] <= maxStatusClass
 }
 
 // peekHeader returns the next header section without consuming it.
