--- a/pkg/keyring/keyring.go
+++ b/pkg/keyring/keyring.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"fmt"
 
 	"github.com/papayapath/papayapath/pkg/customer"
@@ -16,7 +17,7 @@
 type Keyring struct {
 	byKey     map[digest]*customer.Customer
 	customers map[string]*customer.Customer
-	err       error
+	faults    []error
 }
 
 // Option adds customers to a Keyring.
@@ -44,24 +45,22 @@
 	}
 }
 
-// New returns the keyring of some customers, or an *Error if their keys contradict each
-// other.
+// New returns the keyring of some customers, or an *Error for each contradiction between
+// them, joined.
 func New(options ...Option) (*Keyring, error) {
 	k := &Keyring{byKey: make(map[digest]*customer.Customer), customers: make(map[string]*customer.Customer)}
 	for _, o := range options {
 		o(k)
 	}
-	if k.err != nil {
-		return nil, k.err
+	if len(k.faults) > 0 {
+		return nil, errors.Join(k.faults...)
 	}
 	return k, nil
 }
 
-// fail records the first error.
+// fail records an error.
 func (k *Keyring) fail(name, reason string) {
-	if k.err == nil {
-		k.err = &Error{customer: name, reason: reason}
-	}
+	k.faults = append(k.faults, &Error{customer: name, reason: reason})
 }
 
 // Error reports a customer whose keys are invalid. It never quotes a key.
--- a/pkg/keyring/keyring_test.go
+++ b/pkg/keyring/keyring_test.go
@@ -38,3 +38,9 @@
 		require.NotContains(t, err.Error(), "secret")
 	}
 }
+
+// Guards against contradictions that are found one at a time.
+func TestAllContradictionsAreTold(t *testing.T) {
+	_, err := keyring.New(keyring.WithCustomer(customer.New("one"), "k1", "k2", ""), keyring.WithCustomer(customer.New("two"), "k1", "k2"), keyring.WithCustomer(customer.New("one")))
+	require.Len(t, err.(interface{ Unwrap() []error }).Unwrap(), 4)
+}
