--- a/pkg/keyring/keyring.go
+++ b/pkg/keyring/keyring.go
@@ -4,6 +4,9 @@
 	"crypto/sha256"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 
 	"github.com/papayapath/papayapath/pkg/customer"
 )
@@ -83,5 +86,25 @@
 // Customer returns the customer with a name, or nil if there is none.
 func (k *Keyring) Customer(name string) *customer.Customer { return k.customers[name] }
 
+// Customers returns the customers in order of their names.
+func (k *Keyring) Customers() []*customer.Customer {
+	return slices.SortedFunc(maps.Values(k.customers), func(a, b *customer.Customer) int { return strings.Compare(a.Name(), b.Name()) })
+}
+
+// CountKeys returns the number of keys of a customer, and how many of them another keyring
+// has for the customer of the same name.
+func (k *Keyring) CountKeys(name string, other *Keyring) (count, shared int) {
+	for d, c := range k.byKey {
+		if c.Name() != name {
+			continue
+		}
+		count++
+		if o := other.byKey[d]; o != nil && o.Name() == name {
+			shared++
+		}
+	}
+	return count, shared
+}
+
 // Len returns the number of customers. Without any, requests need no key.
 func (k *Keyring) Len() int { return len(k.customers) }
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"iter"
 	"math/rand/v2"
 	"time"
 
@@ -71,6 +72,20 @@
 // Name returns the name of the route in the configuration.
 func (r *Route) Name() string { return r.name }
 
+// Prefix returns the beginning of the paths that the route matches.
+func (r *Route) Prefix() string { return r.prefix }
+
+// Services yields the services of the route with their weights.
+func (r *Route) Services() iter.Seq2[string, int] {
+	return func(yield func(string, int) bool) {
+		for _, s := range r.services {
+			if !yield(s.service, s.weight) {
+				return
+			}
+		}
+	}
+}
+
 // Repeatable reports whether a request may run more than once.
 func (r *Route) Repeatable() bool { return r.repeatable }
 
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -101,6 +103,16 @@
 	return s, ok
 }
 
+// Services yields the services with their configuration, in no particular order.
+func (t *Table) Services() iter.Seq2[string, Service] { return maps.All(t.services) }
+
+// Hosts returns the hosts that have routes, in order of their names.
+func (t *Table) Hosts() []string { return slices.Sorted(maps.Keys(t.hosts)) }
+
+// Routes returns the routes of a host, those with the longest prefix first. Of routes with
+// the same prefix the first one is in use.
+func (t *Table) Routes(host string) []*Route { return slices.Clone(t.hosts[host]) }
+
 // Keyring returns the customers and their API keys.
 func (t *Table) Keyring() *keyring.Keyring { return t.keys }
 
