--- a/cmd/sidecar/main.go
+++ b/cmd/sidecar/main.go
@@ -23,6 +23,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(&nodeCommand{}, "")
 	c.Register(&checkCommand{out: os.Stdout}, "")
+	c.Register(&checkConfigurationCommand{out: os.Stdout}, "")
 	c.Register(&versionCommand{out: os.Stdout}, "")
 	flags.Parse(args) //nolint:errcheck // the flag set exits on an error
 	os.Exit(int(c.Execute(context.Background())))
