--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -44,7 +44,7 @@
 // applyLimits puts the limits of a configuration in force. The first configuration with
 // a limit starts the limiter.
 func (n *Node) applyLimits(t *routing.Table) {
-	customers := t.Keyring().All()
+	customers := t.Keyring().Customers()
 	isLimited := slices.ContainsFunc(customers, (*customer.Customer).IsLimited)
 	if isLimited && !n.limiterRuns.Swap(true) {
 		go n.limiter.Run(n.ctx)
--- a/pkg/keyring/keyring.go
+++ b/pkg/keyring/keyring.go
@@ -2,9 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"errors"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/papayapath/papayapath/pkg/customer"
 )
@@ -18,7 +20,7 @@
 type Keyring struct {
 	byKey     map[digest]*customer.Customer
 	customers map[string]*customer.Customer
-	err       error
+	faults    []error
 }
 
 // Option adds customers to a Keyring.
@@ -46,24 +48,22 @@
 	}
 }
 
-// New returns the keyring of some customers, or an *Error if their keys contradict each
-// other.
+// New returns the keyring of some customers, or an *Error for each contradiction between
+// them, joined.
 func New(options ...Option) (*Keyring, error) {
 	k := &Keyring{byKey: make(map[digest]*customer.Customer), customers: make(map[string]*customer.Customer)}
 	for _, o := range options {
 		o(k)
 	}
-	if k.err != nil {
-		return nil, k.err
+	if len(k.faults) > 0 {
+		return nil, errors.Join(k.faults...)
 	}
 	return k, nil
 }
 
-// fail records the first error.
+// fail records an error.
 func (k *Keyring) fail(name, reason string) {
-	if k.err == nil {
-		k.err = &Error{customer: name, reason: reason}
-	}
+	k.faults = append(k.faults, &Error{customer: name, reason: reason})
 }
 
 // Error reports a customer whose keys are invalid. It never quotes a key.
@@ -86,8 +86,25 @@
 // Customer returns the customer with a name, or nil if there is none.
 func (k *Keyring) Customer(name string) *customer.Customer { return k.customers[name] }
 
-// All returns the customers in no particular order.
-func (k *Keyring) All() []*customer.Customer { return slices.Collect(maps.Values(k.customers)) }
+// Customers returns the customers in order of their names.
+func (k *Keyring) Customers() []*customer.Customer {
+	return slices.SortedFunc(maps.Values(k.customers), func(a, b *customer.Customer) int { return strings.Compare(a.Name(), b.Name()) })
+}
+
+// CountKeys returns the number of keys of a customer, and how many of them another keyring
+// has for the customer of the same name.
+func (k *Keyring) CountKeys(name string, other *Keyring) (count, shared int) {
+	for d, c := range k.byKey {
+		if c.Name() != name {
+			continue
+		}
+		count++
+		if o := other.byKey[d]; o != nil && o.Name() == name {
+			shared++
+		}
+	}
+	return count, shared
+}
 
 // Len returns the number of customers. Without any, requests need no key.
 func (k *Keyring) Len() int { return len(k.customers) }
