Claim an empty partition at once only in the first generation of the log

Cause: in a random schedule a process of the first start that was cut off read the partition first after the log had come back empty from a copy, and claimed it beside a holder whose record was lost. Change: WithFirstGeneration replaces WithFirstStart; a partition without a record in the first generation never had one.

--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -39,7 +39,7 @@
 	self        string
 	incarnation int64
 	duration    time.Duration
-	firstStart  bool
+	first       uint64 // generation at the first start of the system, or 0
 
 	known      bool // a record, or its absence, has been observed
 	newest     Record
@@ -64,10 +64,11 @@
 // Option sets a property of a Term.
 type Option func(*Term)
 
-// WithFirstStart allows to claim a partition without a record at once. It may only be
-// set for processes of the first start of the whole system: later, a partition can be
-// empty because the log came back from a copy, and a holder may be alive.
-func WithFirstStart(first bool) Option { return func(t *Term) { t.firstStart = first } }
+// WithFirstGeneration states the generation of the log at the first start of the whole
+// system. A partition without a record in that generation never had one, and may be
+// claimed at once. In a later one, the log may have come back from a copy that is older
+// than the record of a holder that is alive. 0 states that the generation is unknown.
+func WithFirstGeneration(g uint64) Option { return func(t *Term) { t.first = g } }
 
 // WithDuration sets how long a term lasts. It has to be the same at all nodes.
 func WithDuration(d time.Duration) Option { return func(t *Term) { t.duration = d } }
@@ -94,9 +95,6 @@
 	if t.known && (generation < t.generation || generation == t.generation && end <= t.end) {
 		return
 	}
-	if t.known && generation > t.generation || end > 0 {
-		t.firstStart = false
-	}
 	t.known, t.doubtful, t.gone = true, false, time.Time{}
 	t.newest, t.end, t.generation, t.observed = r, end, generation, now
 	switch {
@@ -197,7 +195,7 @@
 	switch {
 	case t.isOwn() && !t.newest.Released:
 		return t.observed
-	case t.end == 0 && t.firstStart:
+	case t.end == 0 && t.first != 0 && t.generation == t.first:
 		return t.observed.Add(later)
 	case t.isSound() && t.newest.Released:
 		return t.observed.Add(later)
