--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -51,13 +51,13 @@
 
 // Limiter admits the requests of customers with a limit. It is safe for concurrent use.
 type Limiter struct {
-	self       string
-	network    Network
-	log        Log
-	observer   Observer
-	firstStart bool
-	clock      func() time.Time
-	wake       chan struct{} // has Run look at the terms at once
+	self     string
+	network  Network
+	log      Log
+	observer Observer
+	first    uint64 // generation of the log at the first start of the system, or 0
+	clock    func() time.Time
+	wake     chan struct{} // has Run look at the terms at once
 
 	mu        sync.Mutex
 	allocator *allocator.Allocator
@@ -101,9 +101,9 @@
 // Option sets a property of a Limiter.
 type Option func(*Limiter)
 
-// WithFirstStart states that the whole system starts for the first time, so that no node
-// can hold a part of which there is no record.
-func WithFirstStart(first bool) Option { return func(l *Limiter) { l.firstStart = first } }
+// WithFirstGeneration states the generation that the log has at the first start of the
+// whole system. In that generation, no node holds a part of which there is no record.
+func WithFirstGeneration(g uint64) Option { return func(l *Limiter) { l.first = g } }
 
 // WithClock sets the clock, which has to count the time for which the process is
 // suspended. The default is boottime.Now.
@@ -127,7 +127,7 @@
 
 func (l *Limiter) newTerms(incarnation int64) {
 	for i := range l.terms {
-		l.terms[i] = term.New(i, l.self, incarnation, term.WithFirstStart(l.firstStart))
+		l.terms[i] = term.New(i, l.self, incarnation, term.WithFirstGeneration(l.first))
 	}
 }
 
@@ -136,7 +136,6 @@
 func (l *Limiter) SetIncarnation(incarnation int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.firstStart = false
 	l.newTerms(incarnation)
 	l.updateHoldings(l.clock())
 }
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -38,7 +38,16 @@
 func (n *Node) newLimiter() *ratelimit.Limiter {
 	bounds := allocator.Bounds{Window: n.env.QuotaWindow, Overrun: n.env.QuotaOverrun, Slack: n.env.QuotaSlack}
 	return ratelimit.New(n.self.Node, n.self.Incarnation, bounds, limiterNetwork{n}, limiterLog{n}, limiterObserver{n},
-		ratelimit.WithFirstStart(n.env.FirstStart))
+		ratelimit.WithFirstGeneration(firstGeneration(n.env.FirstStart)))
+}
+
+// firstGeneration returns the generation that the log has if the whole system starts for
+// the first time, and 0 otherwise: then it is not known.
+func firstGeneration(isFirstStart bool) uint64 {
+	if isFirstStart {
+		return 1
+	}
+	return 0
 }
 
 // applyLimits puts the limits of a configuration in force. The first configuration with
@@ -217,7 +226,9 @@
 
 // TermChanged implements ratelimit.Observer.
 func (l limiterObserver) TermChanged(part int, holds bool) {
-	l.n.journal.Write(event.TermChanged, logrus.Fields{"part": part, "holds": holds})
+	l.n.journal.Write(event.TermChanged, logrus.Fields{
+		"part": part, "holds": holds, "generation": (*l.n.log.Load()).Generation(),
+	})
 }
 
 // AllocatorChanged implements ratelimit.Observer.
