--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -67,7 +67,8 @@
 // WithFirstGeneration states the generation of the log at the first start of the whole
 // system. A partition without a record in that generation never had one, and may be
 // claimed at once. In a later one, the log may have come back from a copy that is older
-// than the record of a holder that is alive. 0 states that the generation is unknown.
+// than the record of a holder that is alive. 0 states that the generation is unknown. A
+// log that has never come back from a copy may state no generation, which counts as 0.
 func WithFirstGeneration(g uint64) Option { return func(t *Term) { t.first = g } }
 
 // WithDuration sets how long a term lasts. It has to be the same at all nodes.
@@ -195,7 +196,7 @@
 	switch {
 	case t.isOwn() && !t.newest.Released:
 		return t.observed
-	case t.end == 0 && t.first != 0 && t.generation == t.first:
+	case t.end == 0 && t.first != 0 && t.generation <= t.first:
 		return t.observed.Add(later)
 	case t.isSound() && t.newest.Released:
 		return t.observed.Add(later)
