--- a/pkg/allocator/bounds.go
+++ b/pkg/allocator/bounds.go
@@ -16,6 +16,9 @@
 	minValidity = 100 * time.Millisecond
 	// maxValidityFraction leaves a part of the headroom for the depth of the buckets.
 	maxValidityFraction = 0.75
+	// clockTolerance is the difference of the rates of two clocks for which the bound
+	// still holds. Adjustments of a clock by NTP are half of it.
+	clockTolerance = 0.001
 	// maxRate is the highest rate, in requests a second, and the highest burst.
 	maxRate = 1e9
 )
@@ -48,7 +51,8 @@
 		return limit{validity: minValidity}
 	}
 	window := b.Window.Seconds()
-	headroom := b.Overrun*(window*rate+burst) + b.Slack + burst - rate*b.Delay.Seconds()
+	fast := clockTolerance * (window + maxValidity.Seconds())
+	headroom := b.Overrun*(window*rate+burst) + b.Slack + burst - rate*(b.Delay.Seconds()+fast)
 	headroom = max(headroom, 0)
 	validity := max(headroom/2, min(minValidity.Seconds()*rate, maxValidityFraction*headroom)) / rate
 	validity = min(validity, maxValidity.Seconds())
@@ -66,7 +70,7 @@
 		return limit{validity: l.validity}
 	}
 	l.depth = 1
-	l.rate = (most - 1) / (window + b.Delay.Seconds() + validity)
+	l.rate = max(0, (most-1)/(window+b.Delay.Seconds()+validity+fast))
 	return l
 }
 
--- a/pkg/quota/meter.go
+++ b/pkg/quota/meter.go
@@ -25,6 +25,9 @@
 
 // at returns the rate at the given time.
 func (m *meter) at(now time.Time) float64 {
-	age := max(0, now.Sub(m.updated))
+	age := now.Sub(m.updated)
+	if age <= 0 {
+		return m.rate
+	}
 	return m.rate * math.Exp(-age.Seconds()/meterTime.Seconds())
 }
--- a/pkg/quota/part.go
+++ b/pkg/quota/part.go
@@ -39,9 +39,11 @@
 	return p.wanted > 0 && now.Sub(p.sent) < slow
 }
 
-// expire gives up a request whose answer is of no use any more.
+// expire gives up a request whose answer is of no use any more. The allocator is then
+// not asked for as long again.
 func (p *part) expire(now time.Time) {
 	if p.wanted > 0 && now.Sub(p.sent) >= answerTime {
 		p.wanted = 0
+		p.failed = now.Add(answerTime)
 	}
 }
