Remove the limit over all nodes from the mesh

Cause: there is to be one implementation of customers' limits. The shares of the mesh exceed a rate when allocators restart or are cut off. The new packages need appends under a condition, which the streams of the mesh's log do not offer and records that are dropped with time cannot replace, and requests that wait, while pkg/dispatcher decides at arrival; that is more code than the limits themselves.

--- a/pkg/dispatcher/arrive.go
+++ b/pkg/dispatcher/arrive.go
@@ -22,9 +22,6 @@
 		return id, d.finish(c, c.answer(outcome.NotRun, reason), out)
 	}
 	if reason := d.send(now, c); reason != outcome.None {
-		if c.admitted {
-			d.quotas[c.first.Customer].Refund(now)
-		}
 		return id, d.finish(c, c.answer(outcome.NotRun, reason), out)
 	}
 	return id, d.offer(c, out)
@@ -86,10 +83,6 @@
 	d.attachRoot(now, c, terms.Retries())
 	c.first.Priority = priority.New(class.Importance(), c.first.Root)
 	c.deadline = now.Add(shorter(class.Deadline(), r.Timeout))
-	if !d.quota(now, terms).Allow(now) {
-		return outcome.Rate
-	}
-	c.admitted = true
 	return outcome.None
 }
 
--- a/pkg/dispatcher/call.go
+++ b/pkg/dispatcher/call.go
@@ -36,13 +36,12 @@
 	redirects int // of the current attempt
 	crashes   int // attempts at which the backend server crashed
 
-	resend   bool // an earlier send of the same request may have run
-	proved   bool // no attempt of this call has run
-	passed   bool // uses the one repeated child call that is free for its parent
-	paid     bool // took one from the budget for being a repetition
-	unknown  bool // an earlier attempt may have run
-	vouched  bool // the owner of the key says that it has not run
-	admitted bool // took a token from the customer's quota
+	resend  bool // an earlier send of the same request may have run
+	proved  bool // no attempt of this call has run
+	passed  bool // uses the one repeated child call that is free for its parent
+	paid    bool // took one from the budget for being a repetition
+	unknown bool // an earlier attempt may have run
+	vouched bool // the owner of the key says that it has not run
 
 	deadline time.Time
 	issued   time.Time // of the key; zero if unknown
--- a/pkg/dispatcher/dispatcher.go
+++ b/pkg/dispatcher/dispatcher.go
@@ -11,7 +11,6 @@
 	"github.com/papayapath/papayapath/pkg/contract"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/node/shares/quota"
 )
 
 const (
@@ -61,7 +60,6 @@
 	wakes    wakes
 	services map[string]*balancer.Balancer
 	members  map[instance.ID]*balancer.Balancer
-	quotas   map[string]*quota.Quota
 	roots    *simplelru.LRU[rootID, *root]
 	routes   *simplelru.LRU[message.Route, *route]
 	parents  map[message.CallID]*parent
@@ -102,7 +100,6 @@
 		calls:    map[uint64]*call{},
 		services: map[string]*balancer.Balancer{},
 		members:  map[instance.ID]*balancer.Balancer{},
-		quotas:   map[string]*quota.Quota{},
 		parents:  map[message.CallID]*parent{},
 	}
 	for _, o := range options {
--- a/pkg/message/control.go
+++ b/pkg/message/control.go
@@ -16,9 +16,8 @@
 	Promise            *Promise            `cbor:"9,keyasint,omitempty"`
 	TableRequest       *TableRequest       `cbor:"10,keyasint,omitempty"`
 	OwnerSnapshot      *OwnerSnapshot      `cbor:"11,keyasint,omitempty"`
-	Demand             *Demand             `cbor:"12,keyasint,omitempty"`
-	Share              *Share              `cbor:"13,keyasint,omitempty"`
-	Suspicion          *Suspicion          `cbor:"14,keyasint,omitempty"`
+	// 12 and 13 were reports of demand and shares of customers' rates.
+	Suspicion *Suspicion `cbor:"14,keyasint,omitempty"`
 }
 
 // Send is an outgoing control message and its destination. A destination with
--- a/pkg/node/control.go
+++ b/pkg/node/control.go
@@ -9,7 +9,6 @@
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/membership"
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/node/shares/allocator"
 	"github.com/papayapath/papayapath/pkg/stream"
 )
 
@@ -21,12 +20,8 @@
 	members   int    // records of the stream of members so far
 	snapshots int
 	greetings int // members asked for their version before the node was ready
-	demands   []message.Demand
-	// allocators caches the nodes that divide each customer's rate, since
-	// ranking all members takes 0.8 ms at 7,200 of them.
-	allocators map[string][]instance.ID
-	news       []message.Suspicion
-	all        []instance.ID
+	news      []message.Suspicion
+	all       []instance.ID
 
 	// Place in the stream of members.
 	generation uint64
@@ -49,78 +44,22 @@
 	switch {
 	case m.PromiseRequest != nil || m.Promise != nil || m.TableRequest != nil || m.OwnerSnapshot != nil:
 		n.receiveOwners(now, from, m, out)
-	case m.Demand != nil:
-		n.receiveDemand(now, from, *m.Demand, out)
-	case m.Share != nil:
-		n.dispatcher.Share(now, from, *m.Share)
 	case m.Suspicion != nil:
 		n.quarantine.Merge(now, *m.Suspicion)
 	}
 	n.applyMembers(now, out)
 }
 
-// receiveDemand answers a report of demand with a share. Demand of a customer
-// without a contract is ignored.
-func (n *Node) receiveDemand(now time.Time, from instance.ID, d message.Demand, out *Output) {
-	c, ok := n.declarations.Contract(d.Customer)
-	if !ok {
-		return
-	}
-	share := n.allocator.Report(now, from, d, c.Rate())
-	if from == n.self {
-		n.dispatcher.Share(now, from, share)
-		return
-	}
-	out.Sends = append(out.Sends, message.Send{To: from, Control: message.Control{Share: &share}})
-}
-
 // tickControl sends what is due to other nodes.
 func (n *Node) tickControl(now time.Time, out *Output) {
 	n.tickBackend(now, out)
 	out.Sends = n.membership.Tick(now, out.Sends)
 	n.applyMembers(now, out)
 	out.Sends = n.declarations.Tick(now, n.membership.Partners(), out.Sends)
-	n.allocator.Tick(now)
-	n.sendDemands(now, out)
 	n.sendSuspicions(now, out)
 	n.appendSnapshot(now, out)
 }
 
-// sendDemands reports demand to the nodes that divide the customers' rates.
-func (n *Node) sendDemands(now time.Time, out *Output) {
-	n.control.demands = n.dispatcher.Demands(now, n.control.demands[:0])
-	if len(n.control.demands) == 0 {
-		return
-	}
-	for _, d := range n.control.demands {
-		for _, to := range n.allocatorsOf(d.Customer) {
-			if to == n.self {
-				n.receiveDemand(now, to, d, out)
-				continue
-			}
-			out.Sends = append(out.Sends, message.Send{To: to, Control: message.Control{Demand: &d}})
-		}
-	}
-}
-
-// allocatorsOf returns the nodes that divide the rate of a customer.
-func (n *Node) allocatorsOf(customer string) []instance.ID {
-	if nodes, ok := n.control.allocators[customer]; ok {
-		return nodes
-	}
-	n.control.all = append(n.control.all[:0], n.membership.Peers()...)
-	n.control.all = append(n.control.all, n.self)
-	nodes, err := allocator.Nodes(customer, n.control.all)
-	if err != nil {
-		return nil // IDs of members always encode
-	}
-	if n.control.allocators == nil {
-		n.control.allocators = make(map[string][]instance.ID)
-	}
-	n.control.allocators[customer] = nodes
-	return nodes
-}
-
 // sendSuspicions tells the other servers of the own service which requests may
 // crash them.
 func (n *Node) sendSuspicions(now time.Time, out *Output) {
@@ -163,7 +102,6 @@
 		n.applyMember(now, c, out)
 	}
 	if len(changes) > 0 {
-		clear(n.control.allocators)
 		n.keys.setMembers(now, n.owning())
 	}
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -12,7 +12,6 @@
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/membership"
 	"github.com/papayapath/papayapath/pkg/message"
-	"github.com/papayapath/papayapath/pkg/node/shares/allocator"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 )
 
@@ -29,7 +28,6 @@
 	quarantine   *quarantine.Quarantine
 	declarations *declarations.State
 	membership   *membership.Membership
-	allocator    *allocator.Allocator
 	keys         *keyGuard
 	owners       *owners
 	children     map[message.CallID]message.CallID // child call to the run that made it
@@ -58,11 +56,10 @@
 // New returns the state of the node self, without a backend server.
 func New(self instance.ID, options ...Option) *Node {
 	n := &Node{
-		self:      self,
-		random:    rand.New(rand.NewPCG(1, 2)),
-		allocator: allocator.New(),
-		graph:     callgraph.New(),
-		children:  make(map[message.CallID]message.CallID),
+		self:     self,
+		random:   rand.New(rand.NewPCG(1, 2)),
+		graph:    callgraph.New(),
+		children: make(map[message.CallID]message.CallID),
 	}
 	for _, o := range options {
 		o(n)
--- a/pkg/node/shares/quota/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package quota holds one node to its share of a customer's rate.
-package quota
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -38,7 +38,7 @@
 	Draining           // the server is draining
 	Unavailable        // no server of the service is reachable
 	Expired            // the deadline passed or cannot be met
-	Rate               // the customer exceeds its contracted rate
+	Rate               // the request was repeated more often than its retries allow
 	Forbidden          // the customer has no contract, or its contract does not include the call
 	Malformed          // the request violates the protocol
 	Conflict           // the idempotency key was used with another body or customer
