--- a/pkg/quota/safety_test.go
+++ b/pkg/quota/safety_test.go
@@ -403,6 +403,17 @@
 	}
 }
 
+// heal ends all failures but those of processes.
+func (s *schedule) heal() {
+	s.lost, s.late = 0, usualDelay
+	clear(s.cut)
+	clear(s.store.refuses)
+	s.store.down, s.store.late, s.store.lost = 0, 0, 0
+	for _, n := range s.nodes {
+		n.slow = usualDelay
+	}
+}
+
 func (s *schedule) crash(n *node, d time.Duration) {
 	n.incarnation++
 	n.resumes = 0
@@ -577,6 +588,38 @@
 	require.Zero(t, v, "seed %d", seed)
 }
 
+// Guards against a part that nobody allocates any more, or that moves without need, once
+// nothing fails: a node that waits for a record that was lost, or for an answer for ever.
+func TestPartsAreHeldAgain(t *testing.T) {
+	for i := range scaled() / 20 {
+		seed := *firstSeed + uint64(i)
+		s := play(seed, faults{silent: true})
+		s.heal()
+		// The last processes are started or resumed 8 s later. Then a node waits for a
+		// call, a term, and its rank at most.
+		s.run(s.now + 20*time.Second)
+		var periods [term.Parts]uint64
+		for range 2 {
+			for part := range term.Parts {
+				var sum uint64
+				holders := 0
+				for _, n := range s.nodes {
+					sum += n.terms[part].Period()
+					if n.terms[part].Holds(n.now()) {
+						holders++
+					}
+				}
+				require.Equal(t, 1, holders, "seed %d, part %d", seed, part)
+				if periods[part] != 0 {
+					require.Equal(t, periods[part], sum, "seed %d, part %d", seed, part)
+				}
+				periods[part] = sum
+			}
+			s.run(s.now + 10*time.Second)
+		}
+	}
+}
+
 // Guards against checks that cannot fail, by faults that they have to find.
 func TestFaultsAreFound(t *testing.T) {
 	for name, f := range map[string]faults{
