Let requests beyond a limit return while they can meet their objective

Change: a request that could still be in time does not queue for longer than that allows, but never returns before the allocators have a token.

--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -128,15 +128,16 @@
 	}
 }
 
-// RetryAfter returns the time after which a request beyond the limit should return.
-func (l *Limiter) RetryAfter(customer string) time.Duration {
+// RetryAfter returns the time after which a request beyond the limit should return. If it
+// returns after latest, it cannot meet its latency objective.
+func (l *Limiter) RetryAfter(customer string, latest time.Duration) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.customers[customer]
 	if e == nil {
 		return 0
 	}
-	return e.quota.RetryAfter(l.clock(), rand.Float64())
+	return e.quota.RetryAfter(l.clock(), latest, rand.Float64())
 }
 
 // requestTokens requests the tokens that a customer needs now and ends the waits of
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -190,7 +190,7 @@
 		admitted, last := n.admit(1000)
 		require.Greater(t, admitted, 10)
 		require.Equal(t, quota.Denied, last)
-		require.Less(t, n.limiter.RetryAfter("one"), time.Second)
+		require.Less(t, n.limiter.RetryAfter("one", 0), time.Second)
 		time.Sleep(time.Second)
 	}
 	require.Positive(t, a.limiter.Stats().Messages)
@@ -268,6 +268,6 @@
 	_, d = a.limiter.Admit("one", time.Hour, canceled)
 	require.Equal(t, quota.Unavailable, d)
 	for i := range 3 {
-		require.Zero(t, a.limiter.RetryAfter(fmt.Sprint(i)))
+		require.Zero(t, a.limiter.RetryAfter(fmt.Sprint(i), time.Second))
 	}
 }
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -65,9 +65,6 @@
 // retryAfter returns the Retry-After delay of a refused request. The request has
 // no route if there is no configuration.
 func (n *Node) retryAfter(now time.Time, req *request, reason outcome.Reason) time.Duration {
-	if reason == outcome.Rate {
-		return n.limiter.RetryAfter(req.customer.Name())
-	}
 	rejection := retryafter.Rejection{Remaining: req.clientDeadline.Sub(now), NoCapacity: isCapacityReason(reason)}
 	if req.route != nil {
 		rejection.Objective = req.route.Objective() - now.Sub(req.arrival)
@@ -77,5 +74,8 @@
 		}
 		n.mu.Unlock()
 	}
+	if reason == outcome.Rate {
+		return n.limiter.RetryAfter(req.customer.Name(), rejection.Slack())
+	}
 	return rejection.Delay(rand.Float64())
 }
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -246,8 +246,10 @@
 
 // RetryAfter returns the time after which a denied request should return: when an
 // allocator has a token again, as far as it has told, and after those that were denied
-// before it, at the rate at which this node gets tokens. random is in [0, 1).
-func (q *Quota) RetryAfter(now time.Time, random float64) time.Duration {
+// before it, at the rate at which this node gets tokens. A request that cannot meet its
+// latency objective if it returns after latest does not queue behind the others for longer
+// than that: new requests would take its place, and it would be late. random is in [0, 1).
+func (q *Quota) RetryAfter(now time.Time, latest time.Duration, random float64) time.Duration {
 	var wait time.Duration
 	for i := range q.parts {
 		if w := q.parts[i].empty.Sub(now); w > 0 && (wait == 0 || w < wait) {
@@ -259,9 +261,12 @@
 		gap = time.Duration(float64(time.Second) / rate)
 	}
 	turn := max(wait, q.back.Sub(now))
-	if turn > wait+maxReturn {
+	switch {
+	case turn > latest && wait < latest:
+		return wait + time.Duration(random*float64(latest-wait))
+	case turn > wait+maxReturn:
 		turn = wait + time.Duration(random*float64(maxReturn))
-	} else {
+	default:
 		q.back = now.Add(turn + gap)
 	}
 	return turn + time.Duration(random*float64(min(gap, maxJitter)))
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -101,7 +101,7 @@
 		d, _ := q.Take(now)
 		require.Equal(t, quota.Denied, d)
 		require.Empty(t, q.Requests(now, parts, nil))
-		delay := q.RetryAfter(now, 0.5)
+		delay := q.RetryAfter(now, 0, 0.5)
 		require.GreaterOrEqual(t, now.Add(delay), at(0.302), "the earliest time of a token")
 		require.LessOrEqual(t, delay, 3*time.Second)
 	}
@@ -125,7 +125,7 @@
 	q.Refused(at(1.01))
 	last := time.Duration(0)
 	for range 10 {
-		delay := q.RetryAfter(at(1.01), 0)
+		delay := q.RetryAfter(at(1.01), 0, 0)
 		require.Greater(t, delay, last)
 		last = delay
 	}
@@ -222,3 +222,24 @@
 		}
 	}
 }
+
+// Load: a customer at twice its limit, whose requests have an objective. Guards against a
+// denied request that returns when it can only be late, and then takes the token of one
+// that would be in time.
+func TestReturnBeforeTheObjective(t *testing.T) {
+	q := quota.New()
+	now := at(0)
+	parts := []int{0}
+	_, _ = q.Take(now)
+	for _, r := range q.Requests(now, parts, nil) {
+		q.Granted(now, now, r.Part, 0, time.Second, 100*time.Millisecond)
+	}
+	q.Refused(now)
+	const latest = 400 * time.Millisecond
+	for i := range 20 {
+		delay := q.RetryAfter(now, latest, float64(i)/20)
+		require.GreaterOrEqual(t, delay, 100*time.Millisecond, "the part is empty until then")
+		require.LessOrEqual(t, delay, latest+100*time.Millisecond)
+	}
+	require.Greater(t, q.RetryAfter(now, 50*time.Millisecond, 0), 400*time.Millisecond, "it cannot be in time")
+}
--- a/pkg/retryafter/retryafter.go
+++ b/pkg/retryafter/retryafter.go
@@ -35,16 +35,22 @@
 	NoCapacity bool
 }
 
+// Slack returns the longest delay after which the request can still meet its latency
+// objective. It is negative if there is none.
+func (r Rejection) Slack() time.Duration {
+	latency := float64(r.Latency)
+	if r.Latency == 0 {
+		latency = defaultLatencyFraction * float64(r.Objective)
+	}
+	return time.Duration(float64(r.Objective) - latencyMargin*latency)
+}
+
 // Delay returns the delay after which the client should retry. random is in
 // [0, 1) and adds jitter, so that clients rejected together do not retry
 // together.
 func (r Rejection) Delay(random float64) time.Duration {
 	maxDelay, jitter := maxFraction*float64(r.Remaining), minJitter
-	latency := float64(r.Latency)
-	if r.Latency == 0 {
-		latency = defaultLatencyFraction * float64(r.Objective)
-	}
-	if slack := float64(r.Objective) - latencyMargin*latency; slack > float64(minDelay) && slack < maxDelay {
+	if slack := float64(r.Slack()); slack > float64(minDelay) && slack < maxDelay {
 		maxDelay = slack
 	}
 	if r.NoCapacity {
