Look up the incarnation of the present holder of a part

Cause: Limiter.advancePart looks up the incarnation of the holder without its lock. If the record of another holder arrived meanwhile, the higher incarnation of the first one was taken for that of the second, whose process then counted as gone: its part was claimed at once, beside a valid term. Change: the look-up is made again if the holder has changed. Result: TestHolderChangesDuringLookup, red before (a part is claimed).

--- a/internal/ratelimit/allocation.go
+++ b/internal/ratelimit/allocation.go
@@ -144,7 +144,8 @@
 	l.mu.Unlock()
 	incarnation := l.network.Incarnation(holder)
 	l.mu.Lock()
-	if t != l.terms[part] {
+	if current, _ := l.terms[part].Holder(); t != l.terms[part] || current != holder {
+		// The incarnation tells nothing about the present holder.
 		l.mu.Unlock()
 		return 0
 	}
--- /dev/null
+++ b/internal/ratelimit/network_test.go
@@ -0,0 +1,75 @@
+package ratelimit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/papayapath/papayapath/internal/ratelimit"
+	"github.com/papayapath/papayapath/pkg/customer"
+	"github.com/papayapath/papayapath/pkg/term"
+)
+
+// scriptedNetwork is a network of one node whose answers a test sets. The other nodes are
+// linked and do not answer.
+type scriptedNetwork struct {
+	rank        int
+	incarnation func(node string) int64
+	requested   func(id uint64)
+}
+
+func (s *scriptedNetwork) RequestTokens(_ string, id uint64, _ int, _ string, _ int) bool {
+	if s.requested != nil {
+		s.requested(id)
+	}
+	return true
+}
+
+func (s *scriptedNetwork) Incarnation(node string) int64 {
+	if s.incarnation == nil {
+		return 0
+	}
+	return s.incarnation(node)
+}
+
+func (s *scriptedNetwork) IsLinked(string) bool                 { return true }
+func (s *scriptedNetwork) IsNear(string) bool                   { return false }
+func (s *scriptedNetwork) AnnounceTerm(int, term.Record, int64) {}
+func (s *scriptedNetwork) Rank(int) int                         { return s.rank }
+func (s *scriptedNetwork) TermChanged(int, bool)                {}
+func (s *scriptedNetwork) AllocatorChanged(int, string)         {}
+
+// newLimiter returns the limiter of the node a, which has one limited customer.
+func newLimiter(s *scriptedNetwork, l ratelimit.Log) *ratelimit.Limiter {
+	limiter := ratelimit.New("a", 1, bounds, s, l, s, ratelimit.WithFirstGeneration(1))
+	limiter.SetCustomers([]*customer.Customer{customer.New("one", customer.WithLimit(40, 20))})
+	return limiter
+}
+
+// Guards against a claim beside a holder that is alive, because the incarnation of the
+// holder before it was looked up while its record arrived.
+func TestHolderChangesDuringLookup(t *testing.T) {
+	l := &fakeLog{}
+	for part := range term.Parts {
+		l.records[part], l.ends[part] = term.Record{Holder: "x", Incarnation: 5, Number: 1, Generation: 1}, 1
+	}
+	s := &scriptedNetwork{}
+	a := newLimiter(s, l)
+	s.incarnation = func(node string) int64 {
+		if node != "x" {
+			return 0
+		}
+		for part := range term.Parts {
+			r := term.Record{Holder: "y", Incarnation: 3, Number: 1, Generation: 1}
+			l.mu.Lock()
+			l.records[part], l.ends[part] = r, 2
+			l.mu.Unlock()
+			a.HandleTerm(part, r, 2)
+		}
+		return 7
+	}
+	go a.Run(t.Context())
+	time.Sleep(500 * time.Millisecond)
+	require.Zero(t, a.Stats().Held)
+}
