Release a part also if its holder was stopped during a call

Cause: Term.Release returns nothing while a call is in progress and is to be called again after it. Limiter.Stop called it once. A node that was stopped during a renewal, one in 2.5 s for each part, left its record behind, and its part was not allocated until 15 s later or until the node was back. Change: the release is made after the call in progress. Result: TestStopDuringCall, red before (the parts are never released).

--- a/internal/ratelimit/allocation.go
+++ b/internal/ratelimit/allocation.go
@@ -181,6 +181,9 @@
 		defer l.mu.Unlock()
 		t.Refreshed(l.clock(), r, end, after, err)
 		l.setNear(part, r.Holder, isNear)
+		if l.stopping {
+			l.release(t)
+		}
 		return
 	}
 	end, result := l.log.Append(part, a.Record, a.At)
@@ -191,6 +194,9 @@
 	if t == l.terms[part] {
 		l.updateHolding(now, part)
 	}
+	if l.stopping && !a.Record.Released {
+		l.release(t)
+	}
 	r, announced, ok := t.Announcement()
 	l.mu.Unlock()
 	if ok && result == term.Done {
@@ -199,19 +205,25 @@
 }
 
 // Stop gives up all parts, so that other nodes can claim them at once. It makes one call
-// to the log for each part that this node holds and returns without waiting for them.
+// to the log for each part that this node holds, after the one in progress, if any, and
+// returns without waiting for them.
 func (l *Limiter) Stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.stopping = true
-	now := l.clock()
 	for _, t := range l.terms {
-		if a, ok := t.Release(); ok {
-			t.Begin(now, a)
-			go l.call(t, a)
-		}
+		l.release(t)
+	}
+	l.updateHoldings(l.clock())
+}
+
+// release ends the right of a term, and has the log record that unless a call is in
+// progress. The caller must hold l.mu.
+func (l *Limiter) release(t *term.Term) {
+	if a, ok := t.Release(); ok {
+		t.Begin(l.clock(), a)
+		go l.call(t, a)
 	}
-	l.updateHoldings(now)
 }
 
 // errRestored means that the log came back from a copy during a read.
--- a/internal/ratelimit/network_test.go
+++ b/internal/ratelimit/network_test.go
@@ -1,6 +1,7 @@
 package ratelimit_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,3 +74,39 @@
 	time.Sleep(500 * time.Millisecond)
 	require.Zero(t, a.Stats().Held)
 }
+
+// slowLog holds back the answers to appends until they are released.
+type slowLog struct {
+	fakeLog
+	begun    atomic.Int64
+	released chan struct{}
+}
+
+func (l *slowLog) Append(part int, r term.Record, at int64) (int64, term.Result) {
+	l.begun.Add(1)
+	<-l.released
+	return l.fakeLog.Append(part, r, at)
+}
+
+// Guards against a part that nobody allocates for the rest of a term, because its holder
+// was stopped during a call to the log.
+func TestStopDuringCall(t *testing.T) {
+	l := &slowLog{released: make(chan struct{})}
+	a := newLimiter(&scriptedNetwork{}, l)
+	go a.Run(t.Context())
+	require.Eventually(t, func() bool { return l.begun.Load() == term.Parts }, waitTimeout, pollInterval)
+	a.Stop()
+	close(l.released)
+	for part := range term.Parts {
+		require.Eventually(t, func() bool {
+			r, end, _ := l.Newest(part)
+			return end == 0 || r.Released
+		}, waitTimeout, pollInterval, "part %d", part)
+	}
+	time.Sleep(10 * pollInterval)
+	for part := range term.Parts {
+		r, _, _ := l.Newest(part)
+		require.True(t, r.Released, "part %d", part)
+	}
+	require.Zero(t, a.Stats().Held)
+}
