Do not wait for the sending of requests for tokens

Cause: the requests for tokens were sent by the goroutine that made them. A link to a node that has stopped reading takes none for up to 3 s. A request of a client then waited longer than an eighth of its objective, and the reader of another link, which handles grants, read nothing meanwhile, so that this link could count as silent and be closed. Change: they are sent by a goroutine of their own. Result: TestSendingBlocks, red before.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -140,25 +140,25 @@
 	l.updateHoldings(l.clock())
 }
 
-// unlock releases l.mu and sends the requests for tokens that were made while it was
-// held, because sending can block.
+// unlock releases l.mu and has the requests for tokens sent that were made while it was
+// held. It does not wait for them: a link to a node that has stopped reading takes none
+// for seconds.
 func (l *Limiter) unlock() {
-	for {
-		out := l.outbox
-		l.outbox = nil
-		l.mu.Unlock()
-		var lost []uint64
-		for _, m := range out {
-			if !l.network.RequestTokens(m.node, m.id, m.part, m.customer, m.wanted) {
-				lost = append(lost, m.id)
-			}
-		}
-		if len(lost) == 0 {
-			return
-		}
-		l.mu.Lock()
-		for _, id := range lost {
-			l.fail(l.clock(), id)
+	out := l.outbox
+	l.outbox = nil
+	l.mu.Unlock()
+	if len(out) > 0 {
+		go l.send(out)
+	}
+}
+
+// send sends requests for tokens and records those that cannot be sent as failed.
+func (l *Limiter) send(out []message) {
+	for _, m := range out {
+		if !l.network.RequestTokens(m.node, m.id, m.part, m.customer, m.wanted) {
+			l.mu.Lock()
+			l.fail(l.clock(), m.id)
+			l.unlock()
 		}
 	}
 }
--- a/internal/ratelimit/network_test.go
+++ b/internal/ratelimit/network_test.go
@@ -110,3 +110,53 @@
 	}
 	require.Zero(t, a.Stats().Held)
 }
+
+// heldBy returns a log in which another node holds all parts.
+func heldBy(node string) *fakeLog {
+	l := &fakeLog{}
+	for part := range term.Parts {
+		l.records[part], l.ends[part] = term.Record{Holder: node, Incarnation: 1, Number: 1, Generation: 1}, 1
+	}
+	return l
+}
+
+// awaitRequest waits until a node knows whom to ask for tokens and has done so.
+func awaitRequest(t *testing.T, l *ratelimit.Limiter) {
+	go l.Run(t.Context())
+	require.Eventually(t, func() bool {
+		go l.Admit("one", time.Millisecond, nil)
+		return l.Stats().Messages > 0
+	}, waitTimeout, pollInterval)
+}
+
+// Guards against requests that wait longer than they are to, and a reader of a link that
+// reads no more, because the link to an allocator takes no messages for a while.
+func TestSendingBlocks(t *testing.T) {
+	blocked := make(chan struct{})
+	t.Cleanup(func() { close(blocked) })
+	var last atomic.Uint64
+	s := &scriptedNetwork{requested: func(id uint64) {
+		last.Store(id)
+		<-blocked
+	}}
+	a := newLimiter(s, heldBy("x"))
+	awaitRequest(t, a)
+	require.Eventually(t, func() bool { return last.Load() > 0 }, waitTimeout, pollInterval)
+	ended := make(chan struct{}, 2)
+	go func() {
+		a.Admit("one", maxWait, nil)
+		ended <- struct{}{}
+	}()
+	go func() {
+		// The allocator has no tokens, so another one is asked.
+		a.HandleGrant(last.Load(), 0, time.Second, time.Second)
+		ended <- struct{}{}
+	}()
+	for range 2 {
+		select {
+		case <-ended:
+		case <-time.After(10 * maxWait):
+			require.Fail(t, "waits for the link")
+		}
+	}
+}
