End the polling for a customer whose limit was removed

Cause: Limiter.SetCustomers lets the waiting requests of a customer without a limit go and drops its state, whose poll went on: its count of waiting requests never fell, and answers no longer reached it. It looked every 20 ms, and sent a request for tokens to each other node with a part each second or two, until the process ended, once for each such removal. Change: the poll ends when the state has been dropped. Result: TestLimitIsRemovedWhileRequestsWait, red before.

--- a/internal/ratelimit/entry.go
+++ b/internal/ratelimit/entry.go
@@ -214,6 +214,9 @@
 	l.mu.Lock()
 	defer l.unlock()
 	e.polling = false
+	if l.customers[e.name] != e {
+		return // its limit was removed, and nobody waits
+	}
 	l.requestTokens(l.clock(), e)
 	l.forgetRequests()
 }
--- a/internal/ratelimit/network_test.go
+++ b/internal/ratelimit/network_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/papayapath/papayapath/internal/ratelimit"
 	"github.com/papayapath/papayapath/pkg/customer"
+	"github.com/papayapath/papayapath/pkg/quota"
 	"github.com/papayapath/papayapath/pkg/term"
 )
 
@@ -160,3 +161,23 @@
 		}
 	}
 }
+
+// Guards against requests for tokens of a customer whose limit was removed, for as long
+// as the process runs, because some of its requests were waiting then.
+func TestLimitIsRemovedWhileRequestsWait(t *testing.T) {
+	var sent atomic.Int64
+	s := &scriptedNetwork{requested: func(uint64) { sent.Add(1) }}
+	a := newLimiter(s, heldBy("x"))
+	awaitRequest(t, a)
+	decision := make(chan quota.Decision)
+	go func() {
+		_, d := a.Admit("one", waitTimeout, nil)
+		decision <- d
+	}()
+	time.Sleep(10 * pollInterval)
+	a.SetCustomers([]*customer.Customer{customer.New("one")})
+	require.Equal(t, quota.Admitted, <-decision)
+	before := sent.Load()
+	time.Sleep(2500 * time.Millisecond)
+	require.Equal(t, before, sent.Load())
+}
