Ignore limits of an older configuration

Cause: applyConfiguration puts limits in force after it has released Node.mu. With two configurations at the same time, from the log and from another node, the limits of the older one could be set last. They stayed in force until the next configuration: a raised or lowered limit was not applied, and a new customer was unknown to the allocator. Change: Limiter.SetCustomers takes the version, and ignores a lower one. Result: TestOlderCustomersAreIgnored, red without the comparison.

--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -68,6 +68,7 @@
 	near      [term.Parts]bool   // the holder is in the own failure domain
 	outbox    []message          // to be sent when mu has been released
 	stopping  bool
+	version   uint64 // of the configuration with the customers
 	customers map[string]*entry
 	requests  map[uint64]request // unanswered requests for tokens, by ID
 	lastID    uint64
@@ -163,11 +164,15 @@
 	}
 }
 
-// SetCustomers sets the customers of the configuration in force. Tokens for customers
-// without a limit are dropped.
-func (l *Limiter) SetCustomers(all []*customer.Customer) {
+// SetCustomers sets the customers of a configuration version. Those of a lower version
+// than that in force are ignored. Tokens for customers without a limit are dropped.
+func (l *Limiter) SetCustomers(version uint64, all []*customer.Customer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if version < l.version {
+		return
+	}
+	l.version = version
 	now := l.clock()
 	limited := make(map[string]bool, len(all))
 	for _, c := range all {
--- a/internal/ratelimit/limiter_test.go
+++ b/internal/ratelimit/limiter_test.go
@@ -83,7 +83,7 @@
 func (m *mesh) start(t *testing.T, name string, l *fakeLog, incarnation int64) *fakeNode {
 	n := &fakeNode{mesh: m, name: name}
 	n.limiter = ratelimit.New(name, incarnation, bounds, n, l, n, ratelimit.WithFirstGeneration(1), ratelimit.WithClock(boottime.Now))
-	n.limiter.SetCustomers([]*customer.Customer{customer.New("one", customer.WithLimit(40, 20)), customer.New("two")})
+	n.limiter.SetCustomers(1, []*customer.Customer{customer.New("one", customer.WithLimit(40, 20)), customer.New("two")})
 	m.mu.Lock()
 	m.nodes[name] = n
 	m.mu.Unlock()
--- a/internal/ratelimit/network_test.go
+++ b/internal/ratelimit/network_test.go
@@ -45,7 +45,7 @@
 // newLimiter returns the limiter of the node a, which has one limited customer.
 func newLimiter(s *scriptedNetwork, l ratelimit.Log) *ratelimit.Limiter {
 	limiter := ratelimit.New("a", 1, bounds, s, l, s, ratelimit.WithFirstGeneration(1))
-	limiter.SetCustomers([]*customer.Customer{customer.New("one", customer.WithLimit(40, 20))})
+	limiter.SetCustomers(1, []*customer.Customer{customer.New("one", customer.WithLimit(40, 20))})
 	return limiter
 }
 
@@ -175,9 +175,21 @@
 		decision <- d
 	}()
 	time.Sleep(10 * pollInterval)
-	a.SetCustomers([]*customer.Customer{customer.New("one")})
+	a.SetCustomers(2, []*customer.Customer{customer.New("one")})
 	require.Equal(t, quota.Admitted, <-decision)
 	before := sent.Load()
 	time.Sleep(2500 * time.Millisecond)
 	require.Equal(t, before, sent.Load())
 }
+
+// Guards against limits of an older configuration that stay in force, because two
+// configurations came at the same time and the newer one was applied first.
+func TestOlderCustomersAreIgnored(t *testing.T) {
+	a := newLimiter(&scriptedNetwork{}, &fakeLog{})
+	go a.Run(t.Context())
+	require.Eventually(t, func() bool { return a.Stats().Held == term.Parts }, waitTimeout, pollInterval)
+	a.SetCustomers(3, []*customer.Customer{customer.New("one", customer.WithLimit(80, 20)), customer.New("two", customer.WithLimit(40, 20))})
+	a.SetCustomers(2, []*customer.Customer{customer.New("one", customer.WithLimit(40, 20))})
+	_, validity, _ := a.HandleRequest(0, "two", 1)
+	require.Positive(t, validity)
+}
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -59,7 +59,7 @@
 		go n.limiter.Run(n.ctx)
 	}
 	if n.limiterRuns.Load() {
-		n.limiter.SetCustomers(customers)
+		n.limiter.SetCustomers(t.Version(), customers)
 	}
 }
 
