Keep tokens valid on arrival where a limit has no headroom

Cause: without an overrun, slack and burst, which are the defaults of the settings and of a customer, the validity of tokens was 0, or a few milliseconds with a burst of 1. A validity of 0 states that a node does not allocate the part, so a customer with such a limit got 503 for each request. Change: where a bucket has no place for a token, the lower rate that makes place for one makes place for the least validity too. The bound is the same.

--- a/pkg/allocator/allocator_test.go
+++ b/pkg/allocator/allocator_test.go
@@ -76,6 +76,23 @@
 	}
 }
 
+// Guards against tokens that have expired when they arrive, so that a customer is never
+// served, where the settings allow no overrun and the customer has no burst.
+func TestNoHeadroom(t *testing.T) {
+	b := allocator.Bounds{Window: 5 * time.Second}
+	for _, burst := range []float64{0, 1} {
+		a := newAllocator(b, 40, burst)
+		n, validity, _ := a.Grant(start, 0, name, 1)
+		require.Equal(t, 1, n)
+		require.GreaterOrEqual(t, validity, 100*time.Millisecond)
+	}
+	a := newAllocator(b, 0.5, 0)
+	n, validity, wait := a.Grant(start, 0, name, 1)
+	require.Zero(t, n, "less than a request for each part")
+	require.Positive(t, validity, "the part is held")
+	require.Positive(t, wait)
+}
+
 // Guards against absurd values that panic, overflow or grant tokens.
 func TestAbsurdValues(t *testing.T) {
 	for _, v := range []float64{math.NaN(), math.Inf(-1), -1, 0} {
--- a/pkg/allocator/bounds.go
+++ b/pkg/allocator/bounds.go
@@ -12,7 +12,8 @@
 	// With the platform's window and overrun, it leaves buckets that hold the burst.
 	maxValidity = 500 * time.Millisecond
 	// minValidity is kept as long as it takes no more than maxValidityFraction of the
-	// headroom. It covers the way of a grant beside other load.
+	// headroom, or the headroom holds no token for each part. It covers the way of a grant
+	// beside other load.
 	minValidity = 100 * time.Millisecond
 	// maxValidityFraction leaves a part of the headroom for the depth of the buckets.
 	maxValidityFraction = 0.75
@@ -64,7 +65,10 @@
 	if l.depth >= 1 {
 		return l
 	}
-	// A bucket without place for a token grants nothing. A lower rate makes place for one.
+	// A bucket without place for a token grants nothing. A lower rate makes place for one,
+	// and for tokens that are valid on arrival.
+	validity = max(validity, minValidity.Seconds())
+	l.validity = time.Duration(validity * float64(time.Second))
 	most := ((window*rate+burst)*(1+b.Overrun) + b.Slack) / term.Parts
 	if most < 1 {
 		return limit{validity: l.validity}
