Bound the wait that an allocator states

Cause: an entry node takes the wait of a grant as it comes, up to 49 days in the message. An absurd one had all requests of the customer refused for that long, also after another node had taken over the part. Change: it counts as a minute at most, the longest that an allocator states. Result: TestEndlessWait, red before.

--- a/pkg/quota/part.go
+++ b/pkg/quota/part.go
@@ -8,6 +8,9 @@
 	answerTime = time.Second
 	// failureDelay is the time for which a part is not asked after a failure.
 	failureDelay = 100 * time.Millisecond
+	// maxWait bounds the time for which a part is not asked because its allocator has no
+	// token. No allocator states more.
+	maxWait = time.Minute
 	// An allocator is slow, and another one is asked in its place, if its answer takes
 	// slowFactor times as long as answers usually take. An answer that is only delayed
 	// by other load should not count, since the tokens of one of the two answers expire
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -172,7 +172,7 @@
 	granted = min(max(granted, 0), p.wanted)
 	q.validity = min(validity, answerTime)
 	q.delay += time.Duration(delayWeight * float64(now.Sub(sent)-q.delay))
-	p.wanted, p.empty = 0, now.Add(max(wait, 0))
+	p.wanted, p.empty = 0, now.Add(min(max(wait, 0), maxWait))
 	return q.add(now, sent.Add(q.validity), granted)
 }
 
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -87,6 +87,16 @@
 	}
 }
 
+// Guards against a customer that is refused for as long as an absurd answer says.
+func TestEndlessWait(t *testing.T) {
+	q := quota.New()
+	q.Take(origin)
+	empty(q, origin, math.MaxUint32*time.Millisecond)
+	require.Less(t, q.RetryAfter(at(1), 0.5), 2*time.Minute)
+	d, _ := q.Take(at(120))
+	require.Equal(t, quota.Pending, d)
+}
+
 // Guards against a message for each request that is refused, and against a time of return
 // that is not true.
 func TestDenied(t *testing.T) {
