--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -68,6 +68,7 @@
 	near      [term.Parts]bool   // the holder is in the own failure domain
 	outbox    []message          // to be sent when mu has been released
 	stopping  bool
+	version   uint64 // of the configuration with the customers
 	customers map[string]*entry
 	requests  map[uint64]request // unanswered requests for tokens, by ID
 	lastID    uint64
@@ -140,34 +141,38 @@
 	l.updateHoldings(l.clock())
 }
 
-// unlock releases l.mu and sends the requests for tokens that were made while it was
-// held, because sending can block.
+// unlock releases l.mu and has the requests for tokens sent that were made while it was
+// held. It does not wait for them: a link to a node that has stopped reading takes none
+// for seconds.
 func (l *Limiter) unlock() {
-	for {
-		out := l.outbox
-		l.outbox = nil
-		l.mu.Unlock()
-		var lost []uint64
-		for _, m := range out {
-			if !l.network.RequestTokens(m.node, m.id, m.part, m.customer, m.wanted) {
-				lost = append(lost, m.id)
-			}
-		}
-		if len(lost) == 0 {
-			return
-		}
-		l.mu.Lock()
-		for _, id := range lost {
-			l.fail(l.clock(), id)
+	out := l.outbox
+	l.outbox = nil
+	l.mu.Unlock()
+	if len(out) > 0 {
+		go l.send(out)
+	}
+}
+
+// send sends requests for tokens and records those that cannot be sent as failed.
+func (l *Limiter) send(out []message) {
+	for _, m := range out {
+		if !l.network.RequestTokens(m.node, m.id, m.part, m.customer, m.wanted) {
+			l.mu.Lock()
+			l.fail(l.clock(), m.id)
+			l.unlock()
 		}
 	}
 }
 
-// SetCustomers sets the customers of the configuration in force. Tokens for customers
-// without a limit are dropped.
-func (l *Limiter) SetCustomers(all []*customer.Customer) {
+// SetCustomers sets the customers of a configuration version. Those of a lower version
+// than that in force are ignored. Tokens for customers without a limit are dropped.
+func (l *Limiter) SetCustomers(version uint64, all []*customer.Customer) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if version < l.version {
+		return
+	}
+	l.version = version
 	now := l.clock()
 	limited := make(map[string]bool, len(all))
 	for _, c := range all {
