--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -92,7 +92,7 @@
 	q := quota.New()
 	q.Take(origin)
 	empty(q, origin, math.MaxUint32*time.Millisecond)
-	require.Less(t, q.RetryAfter(at(1), 0.5), 2*time.Minute)
+	require.Less(t, q.RetryAfter(at(1), 0, 0.5), 2*time.Minute)
 	d, _ := q.Take(at(120))
 	require.Equal(t, quota.Pending, d)
 }
