Count retries at their arrival, and requests of earlier windows

Cause: the retry budget of a sliding window falls with the requests that are turned away while servers shed, when it is needed most; the rule counts an earlier window if it has more. Change: requestcount.Counter counts as the rule does; allowance.WithEarlierRequests uses it, WithExactCount is for a node that sees every retry arrive. Without options nothing changes.

--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/importance"
+	"github.com/papayapath/papayapath/pkg/requestcount"
 )
 
 const (
@@ -13,6 +14,13 @@
 	// spend. The windows of the nodes and of an observer are not aligned, and
 	// retries in flight at the end of a window count in the next one.
 	usableFraction = 0.75
+	// exactFraction replaces usableFraction where retries are counted on arrival, in one
+	// bucket more than the window has, so that no window of an observer holds more. The
+	// rest covers what a node that is restarted has forgotten.
+	exactFraction = 0.95
+	// reservedFraction is the part of the budget that retries of the least important
+	// requests leave for others, exactReserved that where retries are counted on arrival.
+	reservedFraction, exactReserved = 0.75, 0.15
 )
 
 // Allowance is the share that one node has in the retry budget of one service
@@ -20,35 +28,70 @@
 type Allowance struct {
 	ratio    float64
 	slack    float64
+	usable   float64
+	reserved float64               // part of the budget that the least important retries leave for others
+	earlier  *requestcount.Counter // counts the requests in place of requests, if not nil
 	bucket   time.Duration
 	requests [buckets]float64
-	retries  [buckets]float64
+	retries  [buckets + 1]float64
+	counted  int64 // number of buckets whose retries count
 	newest   int64 // index of the newest bucket since the Unix epoch
 }
 
+// Option changes a default of New.
+type Option func(*Allowance)
+
+// WithEarlierRequests counts the requests of an earlier window in place of the present
+// one if it has more, as the rule on the budget does. A disturbance that turns requests
+// away takes the budget of a sliding window when it is needed most.
+func WithEarlierRequests() Option {
+	return func(a *Allowance) { a.earlier = requestcount.New(a.bucket * buckets) }
+}
+
+// WithExactCount spends more of the budget. It is for a node that counts the retries of
+// all other nodes at the moment of their arrival at a server.
+func WithExactCount() Option {
+	return func(a *Allowance) {
+		a.usable, a.reserved, a.counted = exactFraction, exactReserved, buckets+1
+	}
+}
+
 // New returns an unused allowance. Within each window, the retries of all nodes
 // are limited to ratio times their requests, plus slack. A window is 1 us at least.
-func New(ratio, slack float64, window time.Duration) *Allowance {
-	return &Allowance{ratio: ratio, slack: slack, bucket: max(window, time.Microsecond) / buckets}
+func New(ratio, slack float64, window time.Duration, options ...Option) *Allowance {
+	a := &Allowance{ratio: ratio, slack: slack, usable: usableFraction, reserved: reservedFraction, counted: buckets, bucket: max(window, time.Microsecond) / buckets}
+	for _, o := range options {
+		o(a)
+	}
+	return a
 }
 
-// advance clears the buckets that have left the window and returns the position
-// of the current one.
-func (a *Allowance) advance(now time.Time) int {
+// advance clears the buckets that have left the window and returns the index of the
+// current one.
+func (a *Allowance) advance(now time.Time) int64 {
 	n := now.UnixNano() / int64(a.bucket)
-	if n-a.newest >= buckets || n < a.newest {
-		a.requests, a.retries = [buckets]float64{}, [buckets]float64{}
+	if n-a.newest > buckets || n < a.newest {
+		a.requests, a.retries = [buckets]float64{}, [buckets + 1]float64{}
 	} else {
 		for i := a.newest + 1; i <= n; i++ {
-			a.requests[i%buckets], a.retries[i%buckets] = 0, 0
+			a.requests[i%buckets], a.retries[i%(buckets+1)] = 0, 0
 		}
 	}
 	a.newest = n
-	return int(n % buckets)
+	return n
 }
 
 // Request records a client request or a call made by a backend server.
-func (a *Allowance) Request(now time.Time) { a.requests[a.advance(now)]++ }
+func (a *Allowance) Request(now time.Time) { a.Requests(now, 1) }
+
+// Requests records a number of requests and calls.
+func (a *Allowance) Requests(now time.Time, n float64) {
+	if a.earlier != nil {
+		a.earlier.Add(now, n)
+		return
+	}
+	a.requests[a.advance(now)%buckets] += n
+}
 
 // Allows reports whether a request of the given importance may cause the given
 // number of retries now, if nodes share the slack. Part of the budget is
@@ -58,13 +101,20 @@
 	a.advance(now)
 	level = min(level, importance.Critical)
 	requests, spent := 0.0, 0.0
-	for i := range buckets {
-		requests += a.requests[i]
-		spent += a.retries[i]
+	for _, r := range a.requests {
+		requests += r
 	}
-	budget := usableFraction * (a.ratio*requests + a.slack/float64(max(1, nodes)))
-	return spent+retries <= budget*float64(level+1)/float64(importance.Critical+1)
+	for i := range a.counted {
+		spent += a.retries[(a.newest-i+buckets+1)%(buckets+1)]
+	}
+	if a.earlier != nil {
+		requests = a.earlier.Count(now)
+	}
+	budget := a.usable * (a.ratio*requests + a.slack/float64(max(1, nodes)))
+	return spent+retries <= budget*(1-a.reserved*float64(importance.Critical-level)/float64(importance.Critical))
 }
 
 // Spend records retries, including any that exceed the allowance.
-func (a *Allowance) Spend(now time.Time, retries float64) { a.retries[a.advance(now)] += retries }
+func (a *Allowance) Spend(now time.Time, retries float64) {
+	a.retries[a.advance(now)%(buckets+1)] += retries
+}
--- /dev/null
+++ b/pkg/requestcount/doc.go
@@ -0,0 +1,3 @@
+// Package requestcount counts the requests of a service as the rule on its retry budget
+// does.
+package requestcount
