--- a/pkg/priority/priority.go
+++ b/pkg/priority/priority.go
@@ -46,3 +46,12 @@
 // Customer returns the importance of the customer. It exceeds importance.Critical only
 // in a value of a faulty peer.
 func (p Priority) Customer() importance.Level { return importance.Level(p / customerSteps) }
+
+// Rank returns the importance as a number from 0, the lowest, to 1. Where there are no
+// customers, it is that of the route alone.
+func (p Priority) Rank(hasCustomers bool) float64 {
+	if !hasCustomers {
+		return float64(p.Level()) / float64(levels-1)
+	}
+	return float64(min(p, Count-1)/Steps) / float64(Count/Steps-1)
+}
--- /dev/null
+++ b/pkg/shedding/doc.go
@@ -0,0 +1,2 @@
+// Package shedding measures which part of its requests a server sheds.
+package shedding
