Simulate a service whose servers all shed

Cause: the heaviest load of both new deployments could not be simulated, and the limit knew no retry budget.

--- a/internal/lab/optimum/optimum_test.go
+++ b/internal/lab/optimum/optimum_test.go
@@ -51,6 +51,23 @@
 	require.InDelta(t, 1, o.Worth(), 1e-9)
 }
 
+// All servers of calendars shed half of what they get, and browse needs 8 answers of them,
+// check one. Guards against a limit that assumes more retries than there are, and against
+// one that leaves out the requests that are served without any.
+func TestSheddingIsLimitedByRetries(t *testing.T) {
+	for retries, want := range map[float64]struct{ browse, check float64 }{
+		0: {browse: 500.0 / 256, check: 250},
+		// The worth of a check is 2, so a retry earns 1 with a check and 1/8 with a browse.
+		100: {browse: 500.0 / 256, check: 300},
+		900: {browse: 50 + 450.0/256, check: 500},
+	} {
+		o, err := optimum.Solve(chain(), 1, optimum.WithShedding(optimum.Shedding{Service: "calendars", Fraction: 0.5, Retries: retries}))
+		require.NoError(t, err)
+		require.InDelta(t, want.check, o.ServedRate("check"), 1e-6, retries)
+		require.InDelta(t, want.browse, o.ServedRate("browse"), 1e-6, retries)
+	}
+}
+
 // Guards against accepting scenario files with undefined names or call cycles.
 func TestInvalidScenariosAreRejected(t *testing.T) {
 	for reason, classes := range map[string]string{
--- a/internal/lab/overload/client.go
+++ b/internal/lab/overload/client.go
@@ -13,6 +13,8 @@
 const immediateRetryDelay = 50 * time.Millisecond
 
 // request is a client request across all its attempts.
+var gateRef, winRef int
+
 type request struct {
 	class    *class
 	origin   *node // node through which the client enters
@@ -40,15 +42,27 @@
 	r.attempts++
 	n, now := r.origin, sim.Now()
 	admission := n.window(r.class)
-	if !admission.Admit(now) {
+	g := n.pool != nil && !n.pool.admits(now, r.class)
+	if g {
+		gateRef++
+	}
+	w := !g && !admission.Admit(now)
+	if w {
+		winRef++
+	}
+	if g || w {
 		sim.retryOrGiveUp(r, retryafter.Rejection{NoCapacity: true})
 		return
 	}
 	sim.requests++
+	if n.pool != nil {
+		n.pool.begin(now, r.class)
+	}
 	c := &call{
 		class: r.class, origin: n, end: r.start.Add(r.class.timeout),
 		priority: priority.New(r.class.level, strconv.FormatUint(sim.requests, 10)),
 	}
+	c.isRoot = true
 	c.done = func() {
 		admission.End(sim.Now(), window.Sample{Start: now, QueueDelay: c.delay, Refused: c.refused || c.outcome == refused})
 		switch c.outcome {
@@ -85,12 +99,19 @@
 	stats := &sim.statistics
 	stats.requests++
 	stats.requestedWorth += r.class.Worth
+	e := stats.classes[r.class.Name]
+	if e == nil {
+		e = &ended{}
+		stats.classes[r.class.Name] = e
+	}
+	e.all++
 	switch {
 	case !answered:
 		stats.refused++
 	case sim.Now().Sub(r.start) > r.class.objective:
 		stats.late++
 	default:
+		e.inTime++
 		stats.earnedWorth += r.class.Worth
 	}
 }
--- a/internal/lab/overload/node.go
+++ b/internal/lab/overload/node.go
@@ -43,6 +43,7 @@
 	windows         map[*class]*window.Window
 	latencies       map[*class]*latency.Estimator
 	allowances      map[string]*allowance.Allowance
+	pool            *pool // nil unless the pool is in force
 }
 
 func newNode(sim *Simulation, v optimum.Service, index int) *node {
@@ -62,10 +63,13 @@
 	if index == 0 && sim.pattern.SlowService == v.Name {
 		n.speed /= sim.pattern.SlowFactor
 	}
-	if index == 0 && sim.pattern.SheddingService == v.Name {
+	if index < max(1, sim.pattern.SheddingServers) && sim.pattern.SheddingService == v.Name {
 		n.shed = sim.pattern.ShedFraction
 	}
 	n.runner.SetSlots(v.Slots)
+	if sim.pooled {
+		n.pool = newPool(n, v)
+	}
 	return n
 }
 
@@ -107,7 +111,11 @@
 func (n *node) allowance(service string) *allowance.Allowance {
 	a := n.allowances[service]
 	if a == nil {
-		a = allowance.New(retryBudgetRatio, retryBudgetSlack, retryBudgetWindow)
+		var options []allowance.Option
+		if n.pool != nil {
+			options = append(options, allowance.WithEarlierRequests())
+		}
+		a = allowance.New(retryBudgetRatio, retryBudgetSlack, retryBudgetWindow, options...)
 		n.allowances[service] = a
 	}
 	return a
@@ -132,7 +140,8 @@
 	delay    time.Duration
 	refused  bool // a nested call was refused for lack of capacity
 	outcome  callResult
-	done     func()
+	attempts
+	done func()
 }
 
 // finish completes a call.
@@ -145,17 +154,26 @@
 func (n *node) send(c *call) {
 	sim := n.simulation
 	now := sim.Now()
-	if len(c.tried) == 0 {
+	if len(c.tried) == 0 && !c.isResent {
 		n.allowance(c.class.Service).Request(now)
+		if n.pool != nil {
+			n.pool.gate.Count(c.class.Service)
+		}
 	}
-	name := n.roster.Choose(now, c.class.Service, sim.random.Float64(), func(name string) bool {
-		return !slices.Contains(c.tried, name)
-	}, func(retries float64) bool { return n.withinRetryBudget(c, retries) })
-	if name == "" || len(c.tried) >= maxOffers || !now.Before(c.end) {
-		c.finish(refused)
+	name := n.choose(now, c)
+	if name == "" || c.offers >= maxOffers || !now.Before(c.end) {
+		if c.isUnfunded {
+			c.finish(failed)
+		} else {
+			c.finish(refused)
+		}
 		return
 	}
 	c.tried = append(c.tried, name)
+	c.offers++
+	if n.pool != nil {
+		c.credit = n.pool.gate.Credit(now, c.class.Service, name)
+	}
 	n.roster.Begin(name)
 	sent := now
 	to := sim.nodesByName[name]
@@ -166,6 +184,13 @@
 	})
 }
 
+// choose returns the server to which a call is offered next, or "" if there is none.
+func (n *node) choose(now time.Time, c *call) string {
+	return n.roster.Choose(now, c.class.Service, n.simulation.random.Float64(), func(name string) bool {
+		return !slices.Contains(c.tried, name)
+	}, func(retries float64) bool { return n.withinRetryBudget(c, retries) })
+}
+
 // withinRetryBudget reports whether the retry budget allows retries of a call.
 func (n *node) withinRetryBudget(c *call, retries float64) bool {
 	return n.allowance(c.class.Service).Allows(n.simulation.Now(), len(n.simulation.nodes), c.priority.Level(), retries)
@@ -187,15 +212,26 @@
 	n.roster.RecordReport(now, name, a.report)
 	c.delay += a.delay
 	c.refused = c.refused || a.refused
+	if n.pool != nil {
+		n.pool.learn(c, name, a)
+	}
 	switch a.kind {
 	case answered:
 		n.recordLatency(c.class, now.Sub(sent))
 		c.finish(served)
+	case unfunded:
+		c.isUnfunded = true
+		n.send(c)
 	case rejected:
 		n.send(c)
 	case shed:
+		if n.pool != nil {
+			n.resend(c)
+			return
+		}
 		if n.withinRetryBudget(c, 1) {
 			n.allowance(c.class.Service).Spend(now, 1)
+			c.isResent = true
 			n.send(c)
 			return
 		}
--- a/internal/lab/overload/pattern.go
+++ b/internal/lab/overload/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"github.com/papayapath/papayapath/internal/lab/optimum"
 )
@@ -19,9 +20,14 @@
 	// SlowService has one server whose run times are multiplied by SlowFactor.
 	SlowService string
 	SlowFactor  float64
-	// SheddingService has one server that sheds the fraction ShedFraction of its requests.
+	// SheddingService has SheddingServers servers that shed the fraction ShedFraction of
+	// their requests; 0 means one server. They do so for ShedTime from ShedStart on, the
+	// times since the start of the simulation; a ShedTime of 0 means all the time.
 	SheddingService string
+	SheddingServers int
 	ShedFraction    float64
+	ShedStart       time.Duration
+	ShedTime        time.Duration
 	// LimitedService has LimitedServers servers that take ServerRate requests a
 	// second each, as they say in their answers.
 	LimitedService string
@@ -62,6 +68,10 @@
 		return &PatternError{field: "server-rate", reason: "must not be negative"}
 	case p.SlowService != "" && p.SlowFactor < 1:
 		return &PatternError{field: "slow-by", reason: "must be at least 1"}
+	case p.SheddingServers < 0:
+		return &PatternError{field: "shedding-servers", reason: "must not be negative"}
+	case p.ShedStart < 0 || p.ShedTime < 0:
+		return &PatternError{field: "shed-time", reason: "must not be negative"}
 	case p.ShedFraction < 0 || p.ShedFraction >= 1:
 		return &PatternError{field: "shed", reason: "must be at least 0 and less than 1"}
 	}
@@ -94,17 +104,44 @@
 		if v.Name == p.SlowService {
 			v.Speed *= (float64(v.Servers-1) + 1/p.SlowFactor) / float64(v.Servers)
 		}
-		if v.Name == p.SheddingService && p.ShedFraction > 0 {
+		if v.Name == p.SheddingService && p.ShedFraction > 0 && p.SheddingServers <= 1 {
 			v.Speed *= remainingCapacity(v.Servers, p.ShedFraction)
 		}
 	}
-	o, err := optimum.Solve(&reduced, p.loadFactor())
+	var options []optimum.Option
+	if p.SheddingServers > 1 {
+		shedding, err := p.shedding(s)
+		if err != nil {
+			return 0, err
+		}
+		options = append(options, optimum.WithShedding(shedding))
+	}
+	o, err := optimum.Solve(&reduced, p.loadFactor(), options...)
 	if err != nil {
 		return 0, err
 	}
 	return o.Worth(), nil
 }
 
+// shedding returns the shedding of a whole service: its retries are those of a window of
+// the budget, which may all be spent while the servers shed. The calls that count are
+// those of the load before.
+func (p Pattern) shedding(s *optimum.Scenario) (optimum.Shedding, error) {
+	calm, err := optimum.Solve(s, p.loadFactor())
+	if err != nil {
+		return optimum.Shedding{}, err
+	}
+	calls := calm.CallRate(p.SheddingService) * retryBudgetWindow.Seconds()
+	duration := retryBudgetWindow
+	if p.ShedTime > 0 {
+		duration = min(duration, p.ShedTime)
+	}
+	return optimum.Shedding{
+		Service: p.SheddingService, Fraction: p.ShedFraction,
+		Retries: (retryBudgetRatio*calls + retryBudgetSlack) / duration.Seconds(),
+	}, nil
+}
+
 // remainingCapacity returns the fraction of the capacity that a group of servers
 // retains when one of them sheds a fraction of its requests. A shed request costs
 // no server time but one retry, so that server serves (1-shed)/shed requests for
--- a/internal/lab/overload/server.go
+++ b/internal/lab/overload/server.go
@@ -25,6 +25,7 @@
 	rejected        // rejected by the node
 	shed            // shed by the backend server
 	callFailed      // a nested call of the run failed
+	unfunded        // rejected by the node because the retry budget is used up
 )
 
 // answer is the reply to an offer.
@@ -33,6 +34,7 @@
 	delay   time.Duration
 	refused bool
 	report  roster.Report
+	rates   []rate // of services that shed
 }
 
 // run is an offer at the node of the backend server that executes it.
@@ -40,6 +42,7 @@
 	call      *call
 	started   time.Time
 	ticket    runner.Request[*run]
+	isRepeat  bool // the call has reached a server before
 	reply     func(answer)
 	nextIndex int // index of the next nested call
 	delay     time.Duration
@@ -48,8 +51,12 @@
 
 // handleOffer starts, queues or rejects an offer for the node's backend server.
 func (n *node) handleOffer(c *call, reply func(answer)) {
-	r := &run{call: c, reply: reply}
+	r := &run{call: c, reply: reply, isRepeat: c.isResent}
 	now := n.simulation.Now()
+	if n.pool != nil && !n.pool.accept(now, c) {
+		n.answer(r, unfunded)
+		return
+	}
 	r.ticket = runner.Request[*run]{Value: r, Priority: c.priority, Expires: c.end}
 	decision, evicted := n.runner.Offer(now, &r.ticket)
 	if evicted != nil {
@@ -77,7 +84,8 @@
 func (n *node) answer(r *run, k kind) {
 	now := n.simulation.Now()
 	r.reply(answer{
-		kind: k, delay: r.ticket.QueueTime(now) + r.delay, refused: r.refused,
+		rates: n.pool.rates(),
+		kind:  k, delay: r.ticket.QueueTime(now) + r.delay, refused: r.refused,
 		report: roster.Report{Load: n.runner.Load(now), Limit: n.runner.Capacity(), Time: n.runner.Time(now), Share: n.share()},
 	})
 }
@@ -97,10 +105,15 @@
 	sim := n.simulation
 	r.started = sim.Now()
 	sim.statistics.runs++
+	sim.recordArrival(r)
 	if n.named.Limited {
 		sim.statistics.limited[n.name] = append(sim.statistics.limited[n.name], r.started)
 	}
-	if n.shed > 0 && sim.random.Float64() < n.shed {
+	isShed := n.shedsNow() && sim.random.Float64() < n.shed
+	if n.pool != nil {
+		n.pool.meter.Record(isShed)
+	}
+	if isShed {
 		sim.AfterFunc(shedDelay, func() { n.end(r, shed) })
 		return
 	}
@@ -108,6 +121,13 @@
 	sim.AfterFunc(milliseconds(serviceTime), func() { n.nextCall(r) })
 }
 
+// shedsNow reports whether the server sheds a part of its requests now.
+func (n *node) shedsNow() bool {
+	p := &n.simulation.pattern
+	elapsed := n.simulation.Now().Sub(startTime)
+	return n.shed > 0 && (p.ShedTime == 0 || elapsed >= p.ShedStart && elapsed < p.ShedStart+p.ShedTime)
+}
+
 // nextCall makes the next nested call of a run, or ends the run.
 func (n *node) nextCall(r *run) {
 	class := r.call.class
--- a/internal/lab/overload/simulation.go
+++ b/internal/lab/overload/simulation.go
@@ -1,12 +1,15 @@
 package overload
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/papayapath/papayapath/internal/lab/optimum"
 	"github.com/papayapath/papayapath/internal/lab/timeline"
 	"github.com/papayapath/papayapath/pkg/importance"
+	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/roster"
 )
 
@@ -32,6 +35,18 @@
 	nodesByName map[string]*node
 	requests    uint64
 	statistics  Statistics
+	pooled      bool
+	arrivals    map[string]*arrivals // by service
+}
+
+// servers returns the number of servers of a service.
+func (sim *Simulation) servers(service string) int {
+	for _, v := range sim.scenario.Services {
+		if v.Name == service {
+			return v.Servers
+		}
+	}
+	return 0
 }
 
 // class is a request class with parsed and defaulted settings.
@@ -41,19 +56,36 @@
 	objective time.Duration
 	timeout   time.Duration
 	calls     []*class // nested calls in order, repeated PerRun times
+	// fanout is the number of calls that a run causes at each service, further down too.
+	fanout []fanout
 }
 
+// startTime is the virtual time at which simulations start.
+var startTime = time.Date(2026, time.January, 5, 8, 0, 0, 0, time.UTC)
+
+// Option changes a default of New.
+type Option func(*Simulation)
+
+// WithPool puts the parts of the product in force that share the servers of all
+// services by importance: retry budgets at the servers, and admission by the retries
+// that requests need.
+func WithPool() Option { return func(sim *Simulation) { sim.pooled = true } }
+
 // New returns a simulation of a scenario, with one node for each server. It
 // returns a *PatternError if the pattern is invalid for the scenario, or an
 // *importance.NameError if a class has an unknown importance.
-func New(s *optimum.Scenario, p Pattern, seed uint64) (*Simulation, error) {
+func New(s *optimum.Scenario, p Pattern, seed uint64, options ...Option) (*Simulation, error) {
 	if err := p.validate(s); err != nil {
 		return nil, err
 	}
 	sim := &Simulation{
-		Scheduler: timeline.New(time.Date(2026, time.January, 5, 8, 0, 0, 0, time.UTC)),
+		Scheduler: timeline.New(startTime),
 		scenario:  s, pattern: p, random: rand.New(rand.NewPCG(seed, seed)),
 		classes: make(map[string]*class), nodesByName: make(map[string]*node),
+		arrivals: make(map[string]*arrivals),
+	}
+	for _, o := range options {
+		o(sim)
 	}
 	sim.ResetStatistics()
 	if err := sim.addClasses(); err != nil {
@@ -100,9 +132,33 @@
 			}
 		}
 	}
+	for _, c := range sim.classes {
+		calls := make(map[string]float64)
+		c.countCalls(calls)
+		for _, service := range slices.Sorted(maps.Keys(calls)) {
+			c.fanout = append(c.fanout, fanout{service, calls[service]})
+		}
+	}
 	return nil
 }
 
+// fanout is the number of calls that a run causes at a service.
+type fanout struct {
+	service string
+	calls   float64
+}
+
+// countCalls adds the calls that a run of the class causes at each service.
+func (c *class) countCalls(calls map[string]float64) {
+	for _, call := range c.calls {
+		calls[call.Service]++
+		call.countCalls(calls)
+	}
+}
+
+// rank returns the importance of the class as a number from 0 to 1.
+func (c *class) rank() float64 { return priority.New(c.level, "").Rank(false) }
+
 func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
 
 // Statistics counts client requests and runs and their results.
@@ -112,11 +168,26 @@
 	refused                     int
 	runs, wasted                int
 	limited                     map[string][]time.Time // starts of the runs at each server that names a limit
+	classes                     map[string]*ended      // results of the requests of each class
+}
+
+// ended counts the requests that have ended, and those among them that were answered
+// within their objective.
+type ended struct{ all, inTime int }
+
+// Served returns the fraction of the requests of a class that were answered within
+// their objective.
+func (s Statistics) Served(class string) float64 {
+	e := s.classes[class]
+	if e == nil {
+		return 1
+	}
+	return float64(e.inTime) / float64(e.all)
 }
 
 // ResetStatistics clears the statistics, such as at the end of a warm-up.
 func (sim *Simulation) ResetStatistics() {
-	sim.statistics = Statistics{limited: make(map[string][]time.Time)}
+	sim.statistics = Statistics{limited: make(map[string][]time.Time), classes: make(map[string]*ended)}
 }
 
 // Statistics returns the statistics since the start or the last ResetStatistics.
--- a/internal/lab/program/overload.go
+++ b/internal/lab/program/overload.go
@@ -18,6 +18,7 @@
 // limit.
 type overloadCommand struct {
 	pattern  overload.Pattern
+	pooled   bool
 	seed     uint64
 	warmUp   time.Duration
 	measured time.Duration
@@ -47,6 +48,10 @@
 	f.Float64Var(&c.pattern.SlowFactor, "slow-by", 4, "factor applied to the run times of the slow server")
 	f.StringVar(&c.pattern.SheddingService, "grey", "", "service with a server that sheds requests")
 	f.Float64Var(&c.pattern.ShedFraction, "shed", 0.5, "fraction of the requests that it sheds")
+	f.IntVar(&c.pattern.SheddingServers, "grey-servers", 1, "number of its servers that do")
+	f.DurationVar(&c.pattern.ShedStart, "shed-start", 0, "virtual time from which they do")
+	f.DurationVar(&c.pattern.ShedTime, "shed-time", 0, "time for which they do; 0: always")
+	f.BoolVar(&c.pooled, "pool", false, "put in force what \"pool\" under contracts in the settings does")
 	f.StringVar(&c.pattern.LimitedService, "limited", "", "service with servers that name a limit in their answers")
 	f.IntVar(&c.pattern.LimitedServers, "limited-servers", 1, "number of these servers")
 	f.Float64Var(&c.pattern.ServerRate, "server-rate", 10, "requests a second that each of them takes")
@@ -77,7 +82,11 @@
 	if err != nil {
 		return err
 	}
-	world, err := overload.New(&s, c.pattern, c.seed)
+	var options []overload.Option
+	if c.pooled {
+		options = append(options, overload.WithPool())
+	}
+	world, err := overload.New(&s, c.pattern, c.seed, options...)
 	if err != nil {
 		return err
 	}
@@ -90,6 +99,19 @@
 			return err
 		}
 	}
+	if c.pattern.SheddingService != "" {
+		if _, err := fmt.Fprintf(os.Stdout, "retry budget used %.3f\n", world.BudgetUse(c.pattern.SheddingService)); err != nil {
+			return err
+		}
+		for _, class := range s.Classes {
+			if class.Rate == 0 {
+				continue
+			}
+			if _, err := fmt.Fprintf(os.Stdout, "%s served in time %.3f\n", class.Name, figures.Served(class.Name)); err != nil {
+				return err
+			}
+		}
+	}
 	_, err = fmt.Fprintf(os.Stdout, "worth %.3f, limit %.3f, part %.3f\nlate %.3f, refused %.3f, runs wasted %.3f\n",
 		figures.Worth(), limit, figures.Worth()/limit, figures.LateRatio(), figures.RefusedRatio(), figures.WastedRatio())
 	return err
