Share the retry budget by importance where the settings name the pool

Change: nodes beside servers spend the budget on arrival, offers bring them the number of requests that count, answers tell which services shed, and entry nodes admit by it. A request that was shed may be sent to the same server again. In force only if contracts in the settings has pool.

--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -23,4 +23,7 @@
 	RetryBudgetRatio  float64        // retries allowed per request of a service
 	RetryBudgetSlack  float64        // retries allowed per window in addition to the ratio
 	RetryBudgetWindow time.Duration
+	// Pool puts in force that the capacity and the retry budget of a service are shared
+	// by importance among all nodes: package demand, and retries counted at the servers.
+	Pool bool
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,4 +70,6 @@
 	OfferWithdrawn        = register(659, logrus.InfoLevel, "offer withdrawn")
 	RunCut                = register(660, logrus.WarnLevel, "run cut at the exit")
 	KeyRejected           = register(661, logrus.InfoLevel, "request without a valid key")
+	ServiceSheds          = register(680, logrus.WarnLevel, "service sheds requests")
+	ServiceRecovered      = register(681, logrus.InfoLevel, "service sheds no more requests")
 )
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -99,6 +99,9 @@
 	if reason := n.unavailability(now, ex); reason != outcome.None {
 		return []reply{n.refuseOffer(now, ex, reason)}, false
 	}
+	if !n.takeResend(now, &ex.offer) {
+		return []reply{n.refuseOffer(now, ex, outcome.Budget)}, false
+	}
 	ex.ticket.Expires = n.boundBeforeExit(ex.ticket.Expires)
 	decision, evicted := n.runner.Offer(now, &ex.ticket)
 	if evicted != nil {
@@ -221,6 +224,7 @@
 		delete(n.runningByRequest, ex.offer.Request)
 	}
 	n.recordNotice(now, ex, a)
+	n.recordShedding(a)
 	completed := reply{execution: ex, answer: n.answer(now, ex, a)}
 	if completed.answer.Outcome == outcome.Complete {
 		completed.body = a.Body
@@ -314,7 +318,7 @@
 func (n *Node) setServerState(now time.Time, ex *execution, a *frame.Answer) {
 	a.Load = n.runner.Load(now)
 	a.Limit, a.Time = n.runner.Capacity(), n.runner.Time(now)
-	a.Notice = n.currentNotice()
+	a.Notice, a.Sheds = n.currentNotice(), n.shedRates(now)
 	a.QueueDelay, a.CallRefused = ex.ticket.QueueTime(now)+ex.queueDelay, ex.overloaded
 }
 
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -11,6 +11,7 @@
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/ingress"
 	"github.com/papayapath/papayapath/pkg/allowance"
+	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/quarantine"
@@ -153,8 +154,9 @@
 		}
 		req.offer.Nested = true
 		req.parent, req.withdrawn = parent, parent.withdrawnChannel()
-		n.allowance(req.service).Request(now)
+		n.countRequest(now, req.service)
 		req.offer.Priority = parent.offer.Priority
+		n.markRerun(req)
 		n.callGraph.Call(parent.offer.Route, req.routeKey)
 		n.calledServices[req.routeKey] = req.service
 		return outcome.None
@@ -167,15 +169,18 @@
 	if n.exitDecided || n.stopping && now.After(n.admissionEnd) || !n.answersBeforeExit(now, req.deadline, need) {
 		return outcome.Draining
 	}
-	n.allowance(req.service).Request(now)
+	n.countRequest(now, req.service)
 	w := n.window(req.routeKey, req.route)
 	switch {
+	case !n.coversDemand(now, req):
+		return outcome.Budget
 	case w.Admit(now):
 		req.window = w
 	case n.callsTraced:
 		req.rejection = &windowState{size: int(w.Size()), inFlight: w.InFlight(), queueDelay: w.QueueDelay()}
 		return outcome.Overload
 	}
+	n.beginDemand(now, req)
 	// If no call has ever been traced to its parent execution, this may be a
 	// nested call of a request that was admitted elsewhere. Refusing it would
 	// waste the work already done for that request.
@@ -226,7 +231,7 @@
 func (n *Node) allowance(service string) *allowance.Allowance {
 	a := n.retryBudgets[service]
 	if a == nil {
-		a = allowance.New(n.env.RetryBudgetRatio, n.env.RetryBudgetSlack, n.env.RetryBudgetWindow)
+		a = allowance.New(n.env.RetryBudgetRatio, n.env.RetryBudgetSlack, n.env.RetryBudgetWindow, n.allowanceOptions()...)
 		n.retryBudgets[service] = a
 	}
 	return a
@@ -361,6 +366,7 @@
 			n.roster.RecordOverdue(now, p.node, now.Sub(p.sentAt))
 		}
 		n.stats.retries.Inc(1)
+		req.resends.next = frame.Rerun
 	}
 	n.mu.Unlock()
 	if !allowed {
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -42,6 +42,9 @@
 	unwantedCalls  metrics.Counter // calls of the server for requests that had been withdrawn
 	cutRuns        metrics.Counter // runs that were cut when the node exited
 	logFailures    metrics.Counter
+	budgetRefused  metrics.Counter     // requests refused because no retry budget covers their calls
+	resendsRefused metrics.Counter     // offers refused because the retry budget is used up
+	resends        metrics.Counter     // requests sent again after servers shed them
 	sends          metrics.Counter     // requests sent to the local backend server
 	latency        histogram.Histogram // of complete responses
 	serviceTime    histogram.Histogram // of executions on the local backend server
@@ -71,6 +74,9 @@
 		cutRuns:        counter("runs_cut"),
 		logFailures:    counter("log_failures"),
 		sends:          counter("server_requests"),
+		budgetRefused:  counter("requests_refused_budget"),
+		resendsRefused: counter("offers_refused_budget"),
+		resends:        counter("requests_resent"),
 	}
 }
 
@@ -114,6 +120,9 @@
 	defer n.mu.Unlock()
 	line("server_running", int64(n.runner.Running()))
 	line("server_queued", int64(n.runner.Queued()))
+	if n.sharing != nil {
+		line("server_shed_permille", int64(n.sharing.meter.Rate()*permille))
+	}
 	line("server_limit", int64(n.runner.Limit()))
 	line("nodes", int64(n.registry.Len()))
 	line("links", int64(len(n.mesh.Links())))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -135,6 +135,7 @@
 	callsTraced        bool                     // a node has traced a nested call to its parent execution
 	calledServices     map[message.Route]string // services of the routes that the local backend server calls
 	retryBudgets       map[string]*allowance.Allowance
+	sharing            *sharing // nil unless the settings call for it
 	quarantine         *quarantine.Quarantine
 	brokenExecutions   []brokenExecution
 	pending            map[uint64]*pending
@@ -196,6 +197,9 @@
 		runLatencies:     make(map[message.Route]*latency.Estimator),
 	}
 	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
+	if env.Pool {
+		n.sharing = newSharing(env)
+	}
 	n.log.Store(&log)
 	n.mesh = peer.NewMesh(n, peer.WithBudget(b))
 	n.clients = ingress.New(n, ingress.WithBudget(b))
@@ -298,7 +302,7 @@
 func (n *Node) chooseNode(now time.Time, req *request) string {
 	n.refreshRoster()
 	isUsable := func(node string) bool {
-		return !slices.Contains(req.triedNodes, node) && (node == n.self.Node || n.mesh.Link(node) != nil)
+		return !slices.Contains(req.triedNodes, node) && req.resends.allows(node) && (node == n.self.Node || n.mesh.Link(node) != nil)
 	}
 	isLasting := func(node string) bool {
 		_, ending := n.endingNodes[node]
@@ -339,6 +343,9 @@
 		}
 	}
 	n.roster.Replace(candidates)
+	if n.sharing != nil {
+		n.sharing.setNodes(n.env, n.registry.Len())
+	}
 }
 
 // fallbackNode returns the local node if its backend server accepts the service
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -46,6 +46,7 @@
 	sentAt  time.Time
 	wait    time.Duration // for the answer
 	notice  *frame.Notice // what the server has said of itself, if anything
+	credit  int           // requests and calls that the offer brings to the server's retry budget
 }
 
 // sendOffer offers a request to the best node that has not been tried. If there is
@@ -59,6 +60,7 @@
 		}
 		o := req.offer
 		o.ID, o.Wait, o.Sent, o.Notice = id, p.wait, now.Sub(n.started), p.notice
+		o.Repeat, o.Credit = req.resends.next, p.credit
 		if p.link == nil {
 			req.body.Retain()
 			n.acceptOffer(now, nil, &o, req.body)
@@ -90,7 +92,9 @@
 	switch {
 	case node == "" && req.offerCount == 0:
 		return 0, nil, outcome.Unavailable
-	case node == "" || req.offerCount >= maxOffersPerRequest:
+	case node == "" && req.resends.isUnfunded:
+		return 0, nil, outcome.Budget
+	case node == "" || req.offerCount-req.resends.count >= maxOffersPerRequest:
 		return 0, nil, outcome.Overload
 	}
 	p := &pending{request: req, node: node, sentAt: now, wait: wait, notice: n.notices[node]}
@@ -99,6 +103,7 @@
 			return 0, nil, outcome.Unavailable
 		}
 	}
+	p.credit = n.creditFor(now, req.service, node)
 	req.triedNodes = append(req.triedNodes, node)
 	req.offerCount++
 	n.roster.Begin(node)
@@ -169,6 +174,7 @@
 	}
 	n.removeOffer(a.ID, p)
 	n.recordPeerNotice(p.node, a)
+	n.learnShedding(now, p, a)
 	n.roster.RecordReport(now, p.node, roster.Report{
 		Load: a.Load, Limit: a.Limit, Time: a.Time, Share: n.intakeShare(p.node), Failed: a.Sent && a.Outcome != outcome.Complete,
 	})
@@ -220,6 +226,7 @@
 	if a.Sent {
 		req.serverAttempts++
 	}
+	req.resends.record(r.pending.node, a)
 	if a.Sent && a.Outcome == outcome.Unknown {
 		decider := "answer"
 		if r.linkLost {
@@ -268,6 +275,9 @@
 // mayRetry reports whether a request that reached a backend server may be sent to
 // another one, and charges the retry to the retry budgets.
 func (n *Node) mayRetry(req *request, a *frame.Answer) bool {
+	if n.sharing != nil && a.Outcome == outcome.NotRun {
+		return n.mayResend(req, a)
+	}
 	if req.serverAttempts >= req.route.MaxAttempts() || a.Outcome != outcome.NotRun && !req.route.Repeatable() {
 		return false
 	}
@@ -277,13 +287,19 @@
 	if n.chooseNode(now, req) == "" || !n.takeRetryBudget(now, req, a.Outcome == outcome.NotRun) {
 		return false
 	}
+	req.resends.next = frame.Rerun
+	n.recordRetry(now, req, a)
+	return true
+}
+
+// recordRetry counts and logs that a request is sent again.
+func (n *Node) recordRetry(now time.Time, req *request, a *frame.Answer) {
 	n.stats.retries.Inc(1)
 	n.journal.WriteSampled(now, event.RequestRetried, func() logrus.Fields {
 		f := req.logFields()
 		f["outcome"], f["status"] = a.Outcome.String(), a.Status
 		return f
 	})
-	return true
 }
 
 // takeRetryBudget charges a retry to the retry budget of the service. Unless the
--- a/internal/sidecar/refusal.go
+++ b/internal/sidecar/refusal.go
@@ -60,7 +60,9 @@
 // retryAfter returns the Retry-After delay of a refused request. The request has
 // no route if there is no configuration.
 func (n *Node) retryAfter(now time.Time, req *request, reason outcome.Reason) time.Duration {
-	rejection := retryafter.Rejection{Remaining: req.clientDeadline.Sub(now), NoCapacity: isCapacityReason(reason)}
+	// The retry budget renews itself continually, like capacity.
+	lacksCapacity := isCapacityReason(reason) || reason == outcome.Budget
+	rejection := retryafter.Rejection{Remaining: req.clientDeadline.Sub(now), NoCapacity: lacksCapacity}
 	if req.route != nil {
 		rejection.Objective = req.route.Objective() - now.Sub(req.arrival)
 		n.mu.Lock()
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -49,6 +49,8 @@
 	overloaded      bool            // it or one of its nested calls failed for lack of capacity
 	delayUnknown    bool            // it ended before its queue delay was known
 	configVersion   uint64          // configuration version that routed the request
+	rank            float64         // importance, from 0 to 1
+	resends         resends
 	results         chan *offerResult
 	lastRun         run // of the latest offer that ended without the answer of a server
 
@@ -100,6 +102,7 @@
 	case from.hasKeys:
 		rank = rank.WithCustomer(customer.DefaultLevel)
 	}
+	req.rank = rank.Rank(from.hasKeys)
 	req.offer = frame.Offer{
 		Request:    id,
 		Priority:   rank,
--- /dev/null
+++ b/internal/sidecar/sharing.go
@@ -0,0 +1,256 @@
+package sidecar
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
+
+	"github.com/papayapath/papayapath/internal/environment"
+	"github.com/papayapath/papayapath/internal/event"
+	"github.com/papayapath/papayapath/internal/upstream"
+	"github.com/papayapath/papayapath/pkg/allowance"
+	"github.com/papayapath/papayapath/pkg/demand"
+	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/shedding"
+)
+
+const (
+	// maxResends bounds the sends of one request after servers shed it. If they shed 0.6
+	// of what they get, one request in 3,500 needs more.
+	maxResends = 16
+	// maxCredit bounds the requests that count with one offer. A node counts some hundred
+	// a second.
+	maxCredit = 1 << 12
+	permille  = 1000
+)
+
+// sharing holds what a node knows of shedding servers and spends of the retry budget if the
+// settings call for it. It is guarded by Node.mu.
+type sharing struct {
+	meter shedding.Meter // of the local backend server
+	// retries is the part of the retry budget of the own service that belongs to the local
+	// backend server. It is spent when a request arrives again that a server has shed.
+	retries *allowance.Allowance
+	gate    *demand.Gate
+	alerted map[string]struct{} // services that this node has logged as shedding
+}
+
+func newSharing(env *environment.Environment) *sharing {
+	return &sharing{
+		retries: allowance.New(env.RetryBudgetRatio, env.RetryBudgetSlack, env.RetryBudgetWindow, allowance.WithEarlierRequests(), allowance.WithExactCount()),
+		gate:    demand.New(env.RetryBudgetRatio, env.RetryBudgetSlack, env.RetryBudgetWindow),
+		alerted: make(map[string]struct{}),
+	}
+}
+
+// setNodes sets the number of nodes that share the slack of the retry budgets.
+func (s *sharing) setNodes(env *environment.Environment, nodes int) {
+	s.gate.SetSlack(env.RetryBudgetSlack / float64(max(1, nodes)))
+}
+
+// resends is the state of the repeated sends of a request.
+type resends struct {
+	next       frame.Repeat // of the next offer
+	count      int          // sends after a server shed the request
+	reached    []string     // nodes of the servers that the request has reached
+	only       []string     // if not nil, the nodes to which the next offer may go
+	isUnfunded bool         // a node refused it for want of retry budget
+}
+
+// allows reports whether the next offer may go to a node.
+func (r *resends) allows(node string) bool { return r.only == nil || slices.Contains(r.only, node) }
+
+// record records the answer to an offer, unless it ends the request.
+func (r *resends) record(node string, a *frame.Answer) {
+	if a.Sent && a.Outcome != outcome.Complete && !slices.Contains(r.reached, node) {
+		r.reached = append(r.reached, node)
+	}
+	r.isUnfunded = r.isUnfunded || a.Reason == outcome.Budget
+}
+
+// countRequest counts a request or call for the retry budget of its service.
+func (n *Node) countRequest(now time.Time, service string) {
+	n.allowance(service).Request(now)
+	if n.sharing != nil {
+		n.sharing.gate.Count(service)
+	}
+}
+
+// allowanceOptions returns the options of the retry budgets.
+func (n *Node) allowanceOptions() []allowance.Option {
+	if n.sharing == nil {
+		return nil
+	}
+	return []allowance.Option{allowance.WithEarlierRequests()}
+}
+
+// markRerun marks a call of a run that repeats one which may have run. The node that
+// repeated the run has charged it.
+func (n *Node) markRerun(req *request) {
+	if n.sharing != nil && req.parent.offer.Repeat == frame.Rerun {
+		req.resends.next = frame.Rerun
+	}
+}
+
+// coversDemand reports whether the retry budgets are likely to cover the calls of a new
+// request. Requests for which this is unknown are admitted.
+func (n *Node) coversDemand(now time.Time, req *request) bool {
+	if n.sharing == nil || !n.callsTraced {
+		return true
+	}
+	for _, c := range n.fanouts[req.routeKey] {
+		if !n.sharing.gate.Allows(now, c.Service, req.rank) {
+			n.stats.budgetRefused.Inc(1)
+			return false
+		}
+	}
+	return true
+}
+
+// beginDemand records the admission of a request.
+func (n *Node) beginDemand(now time.Time, req *request) {
+	if n.sharing == nil {
+		return
+	}
+	n.sharing.gate.BeginOwn(now, req.service)
+	for _, c := range n.fanouts[req.routeKey] {
+		n.sharing.gate.Begin(now, c.Service, float64(c.Calls))
+	}
+}
+
+// creditFor returns the requests and calls that count for the server of a node with the
+// next offer to it.
+func (n *Node) creditFor(now time.Time, service, node string) int {
+	if n.sharing == nil {
+		return 0
+	}
+	return n.sharing.gate.Credit(now, service, node)
+}
+
+// mayResend reports whether a request that a server shed may be sent again, and prepares
+// the next offer. Servers that it has not reached come first. The node beside the server
+// charges the retry.
+func (n *Node) mayResend(req *request, a *frame.Answer) bool {
+	r := &req.resends
+	if r.count >= maxResends {
+		return false
+	}
+	now := time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	// The share of this node limits only how often it chooses a shedding server while
+	// there are others.
+	n.allowance(req.service).Spend(now, 1)
+	if !req.offer.Nested && !n.sharing.gate.AllowsRetry(now, req.service, req.rank) {
+		return false
+	}
+	r.only = nil
+	if len(r.reached) >= req.route.MaxAttempts() {
+		r.only = r.reached
+	}
+	if node := n.chooseNode(now, req); node == "" || !r.allows(node) {
+		r.only = r.reached
+		req.triedNodes = slices.DeleteFunc(req.triedNodes, func(node string) bool { return slices.Contains(r.reached, node) })
+	}
+	if node := n.chooseNode(now, req); node == "" || !r.allows(node) {
+		return false
+	}
+	r.count++
+	r.next = frame.Resent
+	n.stats.resends.Inc(1)
+	n.recordRetry(now, req, a)
+	return true
+}
+
+// takeResend reports whether the retry budget covers an offer of the own service, and
+// records what the offer tells of it.
+func (n *Node) takeResend(now time.Time, o *frame.Offer) bool {
+	if n.sharing == nil {
+		return true
+	}
+	n.sharing.retries.Requests(now, float64(max(0, min(maxCredit, o.Credit))))
+	n.refreshRoster()
+	if o.Repeat == frame.Resent && !n.sharing.retries.Allows(now, n.roster.Servers(n.env.Service), o.Priority.Level(), 1) {
+		n.stats.resendsRefused.Inc(1)
+		return false
+	}
+	if o.Repeat != frame.First {
+		n.sharing.retries.Spend(now, 1)
+	}
+	return true
+}
+
+// recordShedding records whether the local backend server has shed a request.
+func (n *Node) recordShedding(a *upstream.Answer) {
+	if n.sharing != nil && (a.Sent || a.Err == nil) {
+		n.sharing.meter.Record(a.NotRun && a.Sent)
+	}
+}
+
+// shedRates returns what an answer tells of services that shed.
+func (n *Node) shedRates(now time.Time) []frame.ServiceRate {
+	if n.sharing == nil {
+		return nil
+	}
+	var all []frame.ServiceRate
+	if rate := n.sharing.meter.Rate(); rate > 0 {
+		all = append(all, frame.ServiceRate{Service: n.env.Service, Rate: float32(rate)})
+	}
+	n.sharing.gate.Rates(now, func(service string, rate float64) {
+		if service != n.env.Service {
+			all = append(all, frame.ServiceRate{Service: service, Rate: float32(rate)})
+		}
+	})
+	return all
+}
+
+// learnShedding records what an answer tells of services that shed: the server that
+// gives it, and the services that its run has called. A service that it does not mention
+// sheds no more.
+func (n *Node) learnShedding(now time.Time, p *pending, a *frame.Answer) {
+	if n.sharing == nil || len(a.Sheds) == 0 && n.sharing.gate.IsCalm() {
+		return
+	}
+	rate := func(service string) float64 {
+		for _, s := range a.Sheds {
+			if s.Service == service {
+				return float64(s.Rate)
+			}
+		}
+		return 0
+	}
+	service := p.request.service
+	if a.Sent || a.Outcome == outcome.Complete {
+		n.sharing.gate.LearnServer(now, service, p.node, rate(service), n.roster.Servers(service))
+		n.logShedding(now, service)
+	}
+	for _, c := range n.fanouts[p.request.routeKey] {
+		// A run that failed, or seldom calls the service, may not have called it.
+		hasCalled := a.Outcome == outcome.Complete && a.Status < fasthttp.StatusInternalServerError && c.Calls >= 1
+		if v := rate(c.Service); c.Service != service && (v > 0 || hasCalled) {
+			n.sharing.gate.Learn(now, c.Service, v)
+			n.logShedding(now, c.Service)
+		}
+	}
+}
+
+// logShedding logs that a service has begun or ceased to shed.
+func (n *Node) logShedding(now time.Time, service string) {
+	rate := n.sharing.gate.Rate(service)
+	_, wasShedding := n.sharing.alerted[service]
+	switch {
+	case rate > 0 && !wasShedding:
+		n.sharing.alerted[service] = struct{}{}
+		n.journal.WriteSampled(now, event.ServiceSheds, func() logrus.Fields {
+			return logrus.Fields{"service": service, "rate": rate}
+		})
+	case rate == 0 && wasShedding:
+		delete(n.sharing.alerted, service)
+		n.journal.WriteSampled(now, event.ServiceRecovered, func() logrus.Fields {
+			return logrus.Fields{"service": service}
+		})
+	}
+}
--- a/pkg/frame/codec.go
+++ b/pkg/frame/codec.go
@@ -16,11 +16,12 @@
 // frames of each request: a codec that inspects the type takes many times as long.
 
 const (
-	offerFields  = 15
-	answerFields = 14
+	offerFields  = 17
+	answerFields = 15
 	noticeFields = 5
-	// maxFanout bounds the services of an Answer.
+	// maxFanout and maxSheds bound the services of an Answer.
 	maxFanout = 1 << 12
+	maxSheds  = 1 << 8
 )
 
 var (
@@ -46,7 +47,9 @@
 	dst = msgp.AppendString(dst, o.Origin)
 	dst = msgp.AppendUint64(dst, o.Content)
 	dst = msgp.AppendBytes(dst, o.Head)
-	return o.Notice.appendTo(dst)
+	dst = o.Notice.appendTo(dst)
+	dst = msgp.AppendUint8(dst, uint8(o.Repeat))
+	return msgp.AppendInt(dst, o.Credit)
 }
 
 // DecodeFrom decodes the offer from data, of which it keeps a part.
@@ -68,6 +71,8 @@
 	o.Content = d.uint64()
 	o.Head = d.bytes()
 	o.Notice = d.notice()
+	o.Repeat = Repeat(d.uint8())
+	o.Credit = d.int()
 	return d.end()
 }
 
@@ -91,7 +96,13 @@
 		dst = msgp.AppendString(dst, s.Service)
 		dst = msgp.AppendFloat32(dst, s.Calls)
 	}
-	return a.Notice.appendTo(dst)
+	dst = a.Notice.appendTo(dst)
+	dst = msgp.AppendArrayHeader(dst, uint32(len(a.Sheds)))
+	for _, s := range a.Sheds {
+		dst = msgp.AppendString(dst, s.Service)
+		dst = msgp.AppendFloat32(dst, s.Rate)
+	}
+	return dst
 }
 
 // DecodeFrom decodes the answer from data, of which it keeps a part.
@@ -118,6 +129,12 @@
 		}
 	}
 	a.Notice = d.notice()
+	for range d.length(maxSheds) {
+		a.Sheds = append(a.Sheds, ServiceRate{Service: d.string(), Rate: d.float32()})
+		if d.err != nil {
+			break
+		}
+	}
 	return d.end()
 }
 
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -78,8 +78,21 @@
 	Content    uint64  // hash of host, method, path and body
 	Head       []byte  // request line and header fields
 	Notice     *Notice // what the sender heard the server say of itself, if anything
+	// Repeat and Credit are zero unless the retry budget is spent at the servers.
+	Repeat Repeat
+	Credit int // requests and calls of the service that count for the receiver
 }
 
+// Repeat tells whether a request or call has been sent to a server of its service before.
+type Repeat uint8
+
+// Kinds of attempts.
+const (
+	First  Repeat = iota
+	Rerun         // it, or the run that makes the call, may have run before; the sender has charged it
+	Resent        // a server has shed it, and the receiver charges it to the retry budget
+)
+
 // Answer is the final reply to an offer.
 type Answer struct {
 	ID          uint64 // offer ID
@@ -96,6 +109,14 @@
 	HasFanout   bool
 	Fanout      []ServiceCalls // if HasFanout, the calls that one run of the route causes
 	Notice      *Notice        // what the server says of itself, if anything
+	Sheds       []ServiceRate  // services that shed requests, as far as the sender knows
+}
+
+// ServiceRate is the part of the requests to a service that its servers shed, or to a
+// single server if the sender is the node beside it.
+type ServiceRate struct {
+	Service string
+	Rate    float32
 }
 
 // Notice is what a backend server has said of itself in its answers. It goes with
--- a/pkg/outcome/outcome.go
+++ b/pkg/outcome/outcome.go
@@ -55,6 +55,7 @@
 	Forgotten          // the key is older than the records of this owner
 	Limited            // the server takes no more requests a second
 	Memory             // the node has no memory for the request
+	Budget             // the retry budget of a service does not cover the retries that are needed
 	reasonCount
 )
 
@@ -62,7 +63,7 @@
 	"none", "overload", "draining", "unavailable", "expired", "rate",
 	"forbidden", "malformed", "conflict", "stale", "nolease", "epoch",
 	"suspect", "broken", "crashed", "canceled", "preempted", "toolarge",
-	"inprogress", "forgotten", "limited", "memory",
+	"inprogress", "forgotten", "limited", "memory", "budget",
 }
 
 // String returns the value of the response header Papayapath-Reason.
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -104,6 +104,9 @@
 // Services returns the names of the services with candidates in sorted order.
 func (r *Roster) Services() []string { return slices.Sorted(maps.Keys(r.services)) }
 
+// Servers returns the number of candidates of a service.
+func (r *Roster) Servers(service string) int { return len(r.services[service]) }
+
 // InFlight returns the number of offers to a node that have not ended.
 func (r *Roster) InFlight(node string) int {
 	if s := r.servers[node]; s != nil {
