--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -27,5 +27,8 @@
 	QuotaOverrun      float64       // by which the limit of a customer may be exceeded in a window
 	QuotaSlack        float64       // requests by which it may be exceeded in addition
 	FirstStart        bool          // the whole system starts for the first time
-	Pool              bool          // requests compete for pools of servers that differ in speed
+	// Pool puts in force that requests which compete for uneven servers are shared out by
+	// importance, expected cost and remaining work: packages demand, starvation, waitlist
+	// and roster, and retries that are counted at the servers.
+	Pool bool
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -72,4 +72,6 @@
 	KeyRejected           = register(661, logrus.InfoLevel, "request without a valid key")
 	TermChanged           = register(670, logrus.InfoLevel, "allocation of a part of the limits begun or ended")
 	AllocatorChanged      = register(671, logrus.InfoLevel, "allocator of a part of the limits changed")
+	ServiceSheds          = register(680, logrus.WarnLevel, "service sheds requests")
+	ServiceRecovered      = register(681, logrus.InfoLevel, "service sheds no more requests")
 )
--- a/internal/sidecar/admission.go
+++ b/internal/sidecar/admission.go
@@ -80,6 +80,7 @@
 		}
 		w.Admit(now)
 		req.window, req.admitted = w, now
+		n.beginDemand(now, req)
 		req.admission <- outcome.None
 	}
 }
