Choose a server by the expected outcome of the request

Cause: Choose divides a mean time by the free part of a server and adds an eighth for another failure domain. With much room it crosses domains at each difference of load; with old reports all callers choose the same server; it does not know the route, its objective or its tail. Change: Roster.ChooseFor, beside Choose, which is as it was. The loss of a choice is the chance to miss the objective, a price for crossing a domain, a price for the last free slots and the wait, and the time. Loads go back to the mean within two service times and vary by a random part, so that old reports do not decide. Servers of other domains are not looked at if one of the own costs less than a crossing. Shedding, limits that servers name, overdue answers and ageing count as in Choose; answers without a known outcome count in full.

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/papayapath/papayapath/pkg/message"
 )
 
 // Candidate is a node whose backend server accepts requests of a service.
@@ -27,6 +29,8 @@
 	// causes a retry or a lost request. A shedding server looks idle and fast
 	// and would otherwise attract more and more requests.
 	Failed bool
+	// Lost reports whether the outcome of the request is unknown. Used by ChooseFor.
+	Lost bool
 }
 
 // Roster holds the state of the servers of all services as one node sees them.
@@ -35,11 +39,16 @@
 type Roster struct {
 	servers  map[string]*server // by address of the node
 	services map[string][]*server
+	groups   map[string]*group // by service, for ChooseFor
+	routes   map[message.Route]*route
 }
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{servers: make(map[string]*server), services: make(map[string][]*server)}
+	return &Roster{
+		servers: make(map[string]*server), services: make(map[string][]*server),
+		groups: make(map[string]*group), routes: make(map[message.Route]*route),
+	}
 }
 
 // Replace sets the candidates. The state of a node is kept until Remove is
@@ -63,6 +72,7 @@
 	for _, c := range candidates {
 		r.services[c.Service] = append(r.services[c.Service], r.servers[c.Node])
 	}
+	r.addToGroups(candidates)
 }
 
 // Remove deletes the state of a node that has left.
@@ -91,6 +101,11 @@
 		failed = 1
 	}
 	s.failureRate += failureWeight * (failed - s.failureRate)
+	lost := 0.0
+	if report.Lost {
+		lost = 1
+	}
+	s.outlook.lossRate += failureWeight * (lost - s.outlook.lossRate)
 }
 
 // RecordOverdue records that a node has not answered a request for the given
@@ -99,6 +114,7 @@
 	s := r.state(node)
 	s.report.Time = max(s.report.Time, elapsed)
 	s.reported = now
+	s.outlook.overdue, s.outlook.overdueAt = min(maxOverdue, s.outlook.overdue+1), now
 }
 
 // Services returns the names of the services with candidates in sorted order.
@@ -112,6 +128,12 @@
 	return 0
 }
 
+// IsNear reports whether a node is a candidate in the own failure domain.
+func (r *Roster) IsNear(node string) bool {
+	s := r.servers[node]
+	return s != nil && s.sameDomain
+}
+
 // HasCapacity reports whether a server is known to have a free slot.
 func (r *Roster) HasCapacity(node string) bool {
 	s := r.servers[node]
--- a/pkg/roster/server.go
+++ b/pkg/roster/server.go
@@ -47,6 +47,15 @@
 	reported   time.Time
 	// failureRate is the weighted mean rate of failures among recent answers.
 	failureRate float64
+	outlook     outlook
+}
+
+// limit returns the concurrency limit that the server reported, or else announced.
+func (s *server) limit() int {
+	if s.report.Limit == 0 {
+		return max(1, s.slots)
+	}
+	return s.report.Limit
 }
 
 // cost estimates the latency of a further request at the server: its service
@@ -58,10 +67,6 @@
 // and a long service time to typical, the mean of the other servers. A server
 // that has not reported yet is assumed to be typical as well.
 func (s *server) cost(now time.Time, typical time.Duration) time.Duration {
-	limit := s.report.Limit
-	if limit == 0 {
-		limit = max(1, s.slots)
-	}
 	age := now.Sub(s.reported)
 	serviceTime := s.report.Time
 	switch {
@@ -72,7 +77,7 @@
 	}
 	serviceTime = max(serviceTime, minServiceTime)
 	load := decay(age, fullWeightAge, s.report.loadExpiry())*float64(s.report.Load) + float64(s.sent)
-	free := 1 - max(load, float64(s.inFlight))/float64(limit)
+	free := 1 - max(load, float64(s.inFlight))/float64(s.limit())
 	if free < minFreeFraction {
 		// Beyond the limit, each further request waits for another one.
 		free = minFreeFraction / (1 + (minFreeFraction-free)/minFreeFraction)
