Play servers of unequal speed, heavy tails and old reports

Cause: the simulation has equal servers, sizes within half of their mean, three domains and one way to choose.

--- a/internal/lab/overload/client.go
+++ b/internal/lab/overload/client.go
@@ -25,10 +25,12 @@
 	if c.Rate == 0 {
 		return
 	}
-	mean := float64(time.Second) / (c.Rate * sim.pattern.loadFactor())
+	mean := float64(time.Second) / (c.Rate * sim.pattern.loadFactor() * (1 + sim.pattern.Variation.Wave))
 	var next func()
 	next = func() {
-		sim.sendAttempt(&request{class: c, origin: sim.nodes[sim.random.IntN(len(sim.nodes))], start: sim.Now()})
+		if origin := sim.nodes[sim.random.IntN(len(sim.nodes))]; sim.hasDemand(origin.domain) {
+			sim.sendAttempt(&request{class: c, origin: origin, start: sim.Now()})
+		}
 		sim.AfterFunc(time.Duration(sim.random.ExpFloat64()*mean), next)
 	}
 	sim.AfterFunc(time.Duration(sim.random.ExpFloat64()*mean), next)
@@ -45,10 +47,8 @@
 		return
 	}
 	sim.requests++
-	c := &call{
-		class: r.class, origin: n, end: r.start.Add(r.class.timeout),
-		priority: priority.New(r.class.level, strconv.FormatUint(sim.requests, 10)),
-	}
+	c := sim.newCall(r.class, n)
+	c.end, c.priority = r.start.Add(r.class.timeout), priority.New(r.class.level, strconv.FormatUint(sim.requests, 10))
 	c.done = func() {
 		admission.End(sim.Now(), window.Sample{Start: now, QueueDelay: c.delay, Refused: c.refused || c.outcome == refused})
 		switch c.outcome {
@@ -85,10 +85,14 @@
 	stats := &sim.statistics
 	stats.requests++
 	stats.requestedWorth += r.class.Worth
+	elapsed := sim.Now().Sub(r.start)
+	if answered {
+		stats.latencies = append(stats.latencies, elapsed)
+	}
 	switch {
 	case !answered:
 		stats.refused++
-	case sim.Now().Sub(r.start) > r.class.objective:
+	case elapsed > r.class.objective:
 		stats.late++
 	default:
 		stats.earnedWorth += r.class.Worth
--- a/internal/lab/overload/node.go
+++ b/internal/lab/overload/node.go
@@ -13,7 +13,9 @@
 	"github.com/papayapath/papayapath/pkg/priority"
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/servicetime"
 	"github.com/papayapath/papayapath/pkg/window"
+	"github.com/papayapath/papayapath/pkg/workload"
 )
 
 const (
@@ -33,7 +35,12 @@
 	name            string
 	service         string
 	domain          int
+	index           int // among the servers of the service
 	speed           float64
+	coldUntil       time.Time
+	arriving        int                  // offers under way
+	heard           map[string]time.Time // latest report, by server
+	outlooks        outlooks
 	shed            float64
 	named           notice.Notice // what the server says in its answers
 	intake          *intake.Intake
@@ -47,7 +54,8 @@
 
 func newNode(sim *Simulation, v optimum.Service, index int) *node {
 	n := &node{
-		simulation: sim, name: fmt.Sprintf("%s-%d", v.Name, index), service: v.Name, domain: index % failureDomains, speed: v.Speed,
+		simulation: sim, name: fmt.Sprintf("%s-%d", v.Name, index), service: v.Name, domain: index % sim.pattern.Variation.domains(), index: index, speed: v.Speed,
+		heard: make(map[string]time.Time), outlooks: outlooks{times: servicetime.New(), workload: workload.New()},
 		intake: &intake.Intake{}, roster: roster.New(),
 		windows: make(map[*class]*window.Window), latencies: make(map[*class]*latency.Estimator),
 		allowances: make(map[string]*allowance.Allowance),
@@ -56,6 +64,9 @@
 	if n.speed == 0 {
 		n.speed = 1
 	}
+	if speeds := sim.pattern.Variation.Speeds; len(speeds) > 0 {
+		n.speed *= speeds[index%len(speeds)]
+	}
 	if index < sim.pattern.LimitedServers && sim.pattern.LimitedService == v.Name {
 		n.named = notice.Notice{Limited: true, Rate: sim.pattern.ServerRate}
 	}
@@ -127,6 +138,8 @@
 	class    *class
 	origin   *node
 	priority priority.Priority
+	started  time.Time
+	size     float64 // service time at a server of speed 1, in ms
 	end      time.Time
 	tried    []string
 	delay    time.Duration
@@ -148,7 +161,7 @@
 	if len(c.tried) == 0 {
 		n.allowance(c.class.Service).Request(now)
 	}
-	name := n.roster.Choose(now, c.class.Service, sim.random.Float64(), func(name string) bool {
+	name := n.choose(c, func(name string) bool {
 		return !slices.Contains(c.tried, name)
 	}, func(retries float64) bool { return n.withinRetryBudget(c, retries) })
 	if name == "" || len(c.tried) >= maxOffers || !now.Before(c.end) {
@@ -159,7 +172,10 @@
 	n.roster.Begin(name)
 	sent := now
 	to := sim.nodesByName[name]
+	to.arriving++
+	sim.statistics.countOffer(c.class.Name, n.domain != to.domain)
 	sim.AfterFunc(n.networkDelay(to), func() {
+		to.arriving--
 		to.handleOffer(c, func(a answer) {
 			sim.AfterFunc(n.networkDelay(to), func() { n.handleAnswer(c, name, sent, a) })
 		})
@@ -184,7 +200,11 @@
 	now := n.simulation.Now()
 	n.roster.End(name)
 	a.report.Failed = a.kind == shed
-	n.roster.RecordReport(now, name, a.report)
+	latency := time.Duration(0)
+	if a.kind == answered {
+		latency = now.Sub(sent) - a.delay
+	}
+	n.recordReport(c, name, a, latency)
 	c.delay += a.delay
 	c.refused = c.refused || a.refused
 	switch a.kind {
--- a/internal/lab/overload/pattern.go
+++ b/internal/lab/overload/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/papayapath/papayapath/internal/lab/optimum"
 )
@@ -27,6 +28,8 @@
 	LimitedService string
 	LimitedServers int
 	ServerRate     float64
+	// Variation is how requests and servers differ.
+	Variation Variation
 }
 
 // PatternError reports a pattern that is invalid for a scenario.
@@ -62,6 +65,10 @@
 		return &PatternError{field: "server-rate", reason: "must not be negative"}
 	case p.SlowService != "" && p.SlowFactor < 1:
 		return &PatternError{field: "slow-by", reason: "must be at least 1"}
+	case slices.ContainsFunc(p.Variation.Speeds, func(speed float64) bool { return !(speed > 0) }):
+		return &PatternError{field: "speeds", reason: "must be positive"}
+	case !known[p.Variation.NoisyService] || !known[p.Variation.ColdService]:
+		return &PatternError{field: "variation", reason: "names an unknown service"}
 	case p.ShedFraction < 0 || p.ShedFraction >= 1:
 		return &PatternError{field: "shed", reason: "must be at least 0 and less than 1"}
 	}
--- a/internal/lab/overload/server.go
+++ b/internal/lab/overload/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/workload"
 )
 
 const (
@@ -33,6 +34,7 @@
 	delay   time.Duration
 	refused bool
 	report  roster.Report
+	outlook roster.Outlook
 }
 
 // run is an offer at the node of the backend server that executes it.
@@ -40,6 +42,8 @@
 	call      *call
 	started   time.Time
 	ticket    runner.Request[*run]
+	work      workload.Run
+	callTime  time.Duration
 	reply     func(answer)
 	nextIndex int // index of the next nested call
 	delay     time.Duration
@@ -78,7 +82,8 @@
 	now := n.simulation.Now()
 	r.reply(answer{
 		kind: k, delay: r.ticket.QueueTime(now) + r.delay, refused: r.refused,
-		report: roster.Report{Load: n.runner.Load(now), Limit: n.runner.Capacity(), Time: n.runner.Time(now), Share: n.share()},
+		report:  roster.Report{Load: n.runner.Load(now), Limit: n.runner.Capacity(), Time: n.runner.Time(now), Share: n.share()},
+		outlook: n.outlook(r.call.class),
 	})
 }
 
@@ -97,6 +102,7 @@
 	sim := n.simulation
 	r.started = sim.Now()
 	sim.statistics.runs++
+	n.outlooks.workload.Start(r.started, r.call.class.route(), &r.work)
 	if n.named.Limited {
 		sim.statistics.limited[n.name] = append(sim.statistics.limited[n.name], r.started)
 	}
@@ -104,7 +110,11 @@
 		sim.AfterFunc(shedDelay, func() { n.end(r, shed) })
 		return
 	}
-	serviceTime := r.call.class.Work / n.speed * (1 - serviceTimeSpread + 2*serviceTimeSpread*sim.random.Float64())
+	size := r.call.size
+	if size == 0 {
+		size = sim.size(r.call.class)
+	}
+	serviceTime := size / n.speedNow()
 	sim.AfterFunc(milliseconds(serviceTime), func() { n.nextCall(r) })
 }
 
@@ -115,9 +125,11 @@
 		n.end(r, answered)
 		return
 	}
-	c := &call{class: class.calls[r.nextIndex], origin: n, priority: r.call.priority, end: r.call.end}
+	c := n.simulation.newCall(class.calls[r.nextIndex], n)
+	c.priority, c.end = r.call.priority, r.call.end
 	r.nextIndex++
 	c.done = func() {
+		r.callTime += n.simulation.Now().Sub(c.started)
 		r.delay += c.delay
 		r.refused = r.refused || c.refused || c.outcome == refused
 		if c.outcome != served {
@@ -134,6 +146,10 @@
 func (n *node) end(r *run, k kind) {
 	now := n.simulation.Now()
 	n.runner.Done(now, &r.ticket, k == answered)
+	n.outlooks.workload.End(now, &r.work, k == answered)
+	if k == answered {
+		n.outlooks.times.Add(now, r.call.class.route(), now.Sub(r.started)-r.callTime)
+	}
 	n.intake.Observe(now, r.started, n.named)
 	n.answer(r, k)
 	n.startQueued()
--- a/internal/lab/overload/simulation.go
+++ b/internal/lab/overload/simulation.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/papayapath/papayapath/internal/lab/optimum"
@@ -30,6 +31,8 @@
 	classes     map[string]*class
 	nodes       []*node
 	nodesByName map[string]*node
+	candidates  []roster.Candidate
+	started     time.Time
 	requests    uint64
 	statistics  Statistics
 }
@@ -55,20 +58,25 @@
 		scenario:  s, pattern: p, random: rand.New(rand.NewPCG(seed, seed)),
 		classes: make(map[string]*class), nodesByName: make(map[string]*node),
 	}
+	sim.started = sim.Now()
 	sim.ResetStatistics()
 	if err := sim.addClasses(); err != nil {
 		return nil, err
 	}
-	var candidates []roster.Candidate
 	for _, v := range s.Services {
 		for i := range v.Servers {
 			n := newNode(sim, v, i)
 			sim.nodes, sim.nodesByName[n.name] = append(sim.nodes, n), n
-			candidates = append(candidates, roster.Candidate{Node: n.name, Service: v.Name, Slots: v.Slots})
+			sim.candidates = append(sim.candidates, roster.Candidate{Node: n.name, Service: v.Name, Slots: v.Slots})
 		}
 	}
 	for _, n := range sim.nodes {
-		n.setCandidates(candidates)
+		n.setCandidates(sim.candidates)
+	}
+	for _, v := range s.Services {
+		if v.Name == p.Variation.ColdService {
+			sim.startRestarts(v.Name, v.Servers)
+		}
 	}
 	for _, c := range s.Classes {
 		sim.startArrivals(sim.classes[c.Name])
@@ -112,11 +120,27 @@
 	refused                     int
 	runs, wasted                int
 	limited                     map[string][]time.Time // starts of the runs at each server that names a limit
+	latencies                   []time.Duration        // of the answered requests
+	offers                      map[string]offers      // by class; "" stands for all
+}
+
+// offers counts the offers of calls of a class.
+type offers struct{ all, crossing int }
+
+func (s *Statistics) countOffer(class string, crosses bool) {
+	for _, name := range [...]string{"", class} {
+		o := s.offers[name]
+		o.all++
+		if crosses {
+			o.crossing++
+		}
+		s.offers[name] = o
+	}
 }
 
 // ResetStatistics clears the statistics, such as at the end of a warm-up.
 func (sim *Simulation) ResetStatistics() {
-	sim.statistics = Statistics{limited: make(map[string][]time.Time)}
+	sim.statistics = Statistics{limited: make(map[string][]time.Time), offers: make(map[string]offers)}
 }
 
 // Statistics returns the statistics since the start or the last ResetStatistics.
@@ -139,6 +163,22 @@
 // RefusedRatio returns the fraction of the requests that ended without an answer.
 func (s Statistics) RefusedRatio() float64 { return float64(s.refused) / float64(max(1, s.requests)) }
 
+// Percentile returns the time within which the given fraction of the answers came.
+func (s Statistics) Percentile(fraction float64) time.Duration {
+	if len(s.latencies) == 0 {
+		return 0
+	}
+	ordered := slices.Sorted(slices.Values(s.latencies))
+	return ordered[min(len(ordered)-1, int(fraction*float64(len(ordered))))]
+}
+
+// CrossingRatio returns the fraction of the offers of a class, or of all if it is "", to
+// servers in another failure domain.
+func (s Statistics) CrossingRatio(class string) float64 {
+	o := s.offers[class]
+	return float64(o.crossing) / float64(max(1, o.all))
+}
+
 // WastedRatio returns the fraction of the runs that failed because one of their
 // nested calls failed.
 func (s Statistics) WastedRatio() float64 { return float64(s.wasted) / float64(max(1, s.runs)) }
--- a/internal/lab/program/overload.go
+++ b/internal/lab/program/overload.go
@@ -5,6 +5,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -50,6 +52,26 @@
 	f.StringVar(&c.pattern.LimitedService, "limited", "", "service with servers that name a limit in their answers")
 	f.IntVar(&c.pattern.LimitedServers, "limited-servers", 1, "number of these servers")
 	f.Float64Var(&c.pattern.ServerRate, "server-rate", 10, "requests a second that each of them takes")
+	v := &c.pattern.Variation
+	f.Func("choice", "how nodes choose servers: by load, outlook or, if they knew it, size", func(name string) (err error) {
+		v.Choice, err = overload.ParseChoice(name)
+		return err
+	})
+	f.IntVar(&v.Domains, "domains", 3, "number of failure domains")
+	f.Float64Var(&v.Spread, "spread", 0, "deviation of the logarithm of the sizes of requests; 0 is an even spread")
+	f.Float64Var(&v.TailShare, "tail", 0, "fraction of the requests, given a spread, that are larger")
+	f.Float64Var(&v.TailFactor, "tail-factor", 1, "factor on their sizes")
+	f.Float64Var(&v.Wave, "wave", 0, "amplitude of the demand of each failure domain")
+	f.Func("speeds", "speeds of the servers of each service, repeated in order", func(list string) error {
+		for item := range strings.SplitSeq(list, ",") {
+			speed, err := strconv.ParseFloat(item, 64)
+			if err != nil {
+				return err
+			}
+			v.Speeds = append(v.Speeds, speed)
+		}
+		return nil
+	})
 	f.Uint64Var(&c.seed, "seed", 1, "seed of all random choices")
 	f.DurationVar(&c.warmUp, "warm-up", 5*time.Second, "virtual time before the measurement")
 	f.DurationVar(&c.measured, "time", 15*time.Second, "virtual time of the measurement")
@@ -90,7 +112,7 @@
 			return err
 		}
 	}
-	_, err = fmt.Fprintf(os.Stdout, "worth %.3f, limit %.3f, part %.3f\nlate %.3f, refused %.3f, runs wasted %.3f\n",
-		figures.Worth(), limit, figures.Worth()/limit, figures.LateRatio(), figures.RefusedRatio(), figures.WastedRatio())
+	_, err = fmt.Fprintf(os.Stdout, "worth %.3f, limit %.3f, part %.3f\nlate %.3f, refused %.3f, runs wasted %.3f, crossing %.3f\n",
+		figures.Worth(), limit, figures.Worth()/limit, figures.LateRatio(), figures.RefusedRatio(), figures.WastedRatio(), figures.CrossingRatio(""))
 	return err
 }
