Let nodes choose servers by expected outcome where the settings name pool

Cause: the choice needs what the node beside a server expects of it. Change: environment.Pool, from contracts in the settings; frame.Outlook, an optional last field of an answer (wait, usual service time of the route, present slowdown); internal/sidecar/placement.go. The service time excludes the calls of a run. Event 690, metrics offers_sent, offers_crossing, server_work_ms and server_slowdown_percent. Without pool: the same messages, choice and work.

--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -23,4 +23,5 @@
 	RetryBudgetRatio  float64        // retries allowed per request of a service
 	RetryBudgetSlack  float64        // retries allowed per window in addition to the ratio
 	RetryBudgetWindow time.Duration
+	Pool              bool // the rules on uneven load are in force
 }
--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -70,4 +70,5 @@
 	OfferWithdrawn        = register(659, logrus.InfoLevel, "offer withdrawn")
 	RunCut                = register(660, logrus.WarnLevel, "run cut at the exit")
 	KeyRejected           = register(661, logrus.InfoLevel, "request without a valid key")
+	ServerSpeedChanged    = register(690, logrus.InfoLevel, "server speed changed")
 )
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/peer"
@@ -34,6 +35,7 @@
 	withdrawn  chan struct{} // closed when the offer is withdrawn; nil without nested calls
 	queueDelay time.Duration // queue delay of its nested calls
 	overloaded bool          // a nested call was refused for lack of capacity
+	placed     placedRun
 }
 
 // executionKey identifies an execution by the ID of its offer, which is unique per
@@ -156,6 +158,7 @@
 	// It may have been queued before the signal to stop.
 	ex.ticket.Expires = n.boundBeforeExit(ex.ticket.Expires)
 	n.stats.sends.Inc(1)
+	n.placement.start(now, ex)
 	n.callGraph.Run(ex.offer.Route)
 	n.runningByRequest[ex.offer.Request] = ex
 	n.withdrawals.Remove(ex.offer.Request)
@@ -217,6 +220,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	n.runner.Done(now, &ex.ticket, a.Err == nil && !a.NotRun)
+	n.placement.end(now, ex, a.Err == nil && !a.NotRun && a.Status < fasthttp.StatusInternalServerError)
 	if n.runningByRequest[ex.offer.Request] == ex {
 		delete(n.runningByRequest, ex.offer.Request)
 	}
@@ -315,6 +319,7 @@
 	a.Load = n.runner.Load(now)
 	a.Limit, a.Time = n.runner.Capacity(), n.runner.Time(now)
 	a.Notice = n.currentNotice()
+	n.setOutlook(now, ex, a)
 	a.QueueDelay, a.CallRefused = ex.ticket.QueueTime(now)+ex.queueDelay, ex.overloaded
 }
 
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -83,6 +83,7 @@
 	switch {
 	case req.parent != nil:
 		req.parent.queueDelay += req.queueDelay
+		req.parent.placed.calls.end(now)
 		req.parent.overloaded = req.parent.overloaded || req.overloaded
 	case req.window == nil:
 	case req.delayUnknown:
@@ -153,6 +154,7 @@
 		}
 		req.offer.Nested = true
 		req.parent, req.withdrawn = parent, parent.withdrawnChannel()
+		parent.placed.calls.begin(now)
 		n.allowance(req.service).Request(now)
 		req.offer.Priority = parent.offer.Priority
 		n.callGraph.Call(parent.offer.Route, req.routeKey)
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -35,6 +35,8 @@
 	unauthorized   metrics.Counter // requests without a valid API key
 	unconfirmed    metrics.Counter // requests with a key that only a newer configuration may have
 	offersRefused  metrics.Counter
+	offersSent     metrics.Counter // where servers are chosen by expected outcome
+	offersCrossing metrics.Counter // those among them to other failure domains
 	delayed        metrics.Counter // offers that were delayed on their link
 	withdrawn      metrics.Counter // offers that were withdrawn while queued or running here
 	withdrawnRuns  metrics.Counter // those among them that had been sent to the server
@@ -63,6 +65,8 @@
 		unauthorized:   counter("requests_unauthorized"),
 		unconfirmed:    counter("requests_unconfirmed"),
 		offersRefused:  counter("offers_refused"),
+		offersSent:     counter("offers_sent"),
+		offersCrossing: counter("offers_crossing"),
 		delayed:        counter("offers_delayed"),
 		withdrawn:      counter("offers_withdrawn"),
 		withdrawnRuns:  counter("offers_withdrawn_running"),
@@ -115,6 +119,7 @@
 	line("server_running", int64(n.runner.Running()))
 	line("server_queued", int64(n.runner.Queued()))
 	line("server_limit", int64(n.runner.Limit()))
+	n.placement.metrics(time.Now(), n.runner.Queued(), line)
 	line("nodes", int64(n.registry.Len()))
 	line("links", int64(len(n.mesh.Links())))
 	line("log_generation", int64(n.logGeneration))
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -130,7 +130,8 @@
 	runLatencies       map[message.Route]*latency.Estimator // of offers to the local backend server
 	windows            map[message.Route]*window.Window
 	roster             *roster.Roster
-	rosterRevision     uint64 // registry revision that the roster reflects
+	placement          *placement // nil unless the settings ask for it
+	rosterRevision     uint64     // registry revision that the roster reflects
 	fanouts            map[message.Route][]frame.ServiceCalls
 	callsTraced        bool                     // a node has traced a nested call to its parent execution
 	calledServices     map[message.Route]string // services of the routes that the local backend server calls
@@ -180,6 +181,7 @@
 		latencies:        make(map[message.Route]*latency.Estimator),
 		windows:          make(map[message.Route]*window.Window),
 		roster:           roster.New(),
+		placement:        newPlacement(env.Pool),
 		fanouts:          make(map[message.Route][]frame.ServiceCalls),
 		calledServices:   make(map[message.Route]string),
 		quarantine:       quarantine.New(quarantine.WithoutIsolation()),
@@ -309,11 +311,11 @@
 	}
 	if !req.offer.Repeatable && len(n.endingNodes) > 0 {
 		// A run that outlasts its node is lost. This node may exit later than the other.
-		if node := n.roster.Choose(now, req.service, rand.Float64(), isLasting, withinBudget); node != "" {
+		if node := n.chooseServer(now, req, isLasting, withinBudget); node != "" {
 			return node
 		}
 	}
-	if node := n.roster.Choose(now, req.service, rand.Float64(), isUsable, withinBudget); node != "" {
+	if node := n.chooseServer(now, req, isUsable, withinBudget); node != "" {
 		return node
 	}
 	return n.fallbackNode(req.service, req.triedNodes)
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -102,6 +102,7 @@
 	req.triedNodes = append(req.triedNodes, node)
 	req.offerCount++
 	n.roster.Begin(node)
+	n.countOffer(node)
 	id := n.offerCount.Add(1)
 	n.pending[id] = p
 	req.openOffers = append(req.openOffers, id)
@@ -171,7 +172,9 @@
 	n.recordPeerNotice(p.node, a)
 	n.roster.RecordReport(now, p.node, roster.Report{
 		Load: a.Load, Limit: a.Limit, Time: a.Time, Share: n.intakeShare(p.node), Failed: a.Sent && a.Outcome != outcome.Complete,
+		Lost: a.Sent && a.Outcome == outcome.Unknown,
 	})
+	n.recordOutlook(now, p, a)
 	p.request.queueDelay += a.QueueDelay
 	p.request.overloaded = p.request.overloaded || a.CallRefused
 	p.request.capacityRefused = p.request.capacityRefused || a.Outcome == outcome.NotRun && !a.Sent && isCapacityReason(a.Reason)
--- a/pkg/frame/codec.go
+++ b/pkg/frame/codec.go
@@ -16,9 +16,12 @@
 // frames of each request: a codec that inspects the type takes many times as long.
 
 const (
-	offerFields  = 15
-	answerFields = 14
-	noticeFields = 5
+	offerFields = 15
+	// answerFields is the number of fields of an answer without an outlook, which is
+	// the last field.
+	answerFields  = 14
+	noticeFields  = 5
+	outlookFields = 3
 	// maxFanout bounds the services of an Answer.
 	maxFanout = 1 << 12
 )
@@ -73,7 +76,11 @@
 
 // AppendTo appends the encoded answer to dst.
 func (a *Answer) AppendTo(dst []byte) []byte {
-	dst = msgp.AppendArrayHeader(dst, answerFields)
+	fields := uint32(answerFields)
+	if a.Outlook != nil {
+		fields++
+	}
+	dst = msgp.AppendArrayHeader(dst, fields)
 	dst = msgp.AppendUint64(dst, a.ID)
 	dst = msgp.AppendUint8(dst, uint8(a.Outcome))
 	dst = msgp.AppendUint8(dst, uint8(a.Reason))
@@ -91,13 +98,20 @@
 		dst = msgp.AppendString(dst, s.Service)
 		dst = msgp.AppendFloat32(dst, s.Calls)
 	}
-	return a.Notice.appendTo(dst)
+	dst = a.Notice.appendTo(dst)
+	if a.Outlook == nil {
+		return dst
+	}
+	dst = msgp.AppendArrayHeader(dst, outlookFields)
+	dst = msgp.AppendInt64(dst, int64(a.Outlook.Wait))
+	dst = msgp.AppendInt64(dst, int64(a.Outlook.ServiceTime))
+	return msgp.AppendFloat32(dst, a.Outlook.Slowdown)
 }
 
 // DecodeFrom decodes the answer from data, of which it keeps a part.
 func (a *Answer) DecodeFrom(data []byte) error {
 	d := decoder{rest: data}
-	d.fields(answerFields)
+	hasOutlook := d.fieldsOr(answerFields, answerFields+1) == answerFields+1
 	a.ID = d.uint64()
 	a.Outcome = outcome.Outcome(d.uint8())
 	a.Reason = outcome.Reason(d.uint8())
@@ -118,6 +132,10 @@
 		}
 	}
 	a.Notice = d.notice()
+	if hasOutlook {
+		d.fields(outlookFields)
+		a.Outlook = &Outlook{Wait: time.Duration(d.int64()), ServiceTime: time.Duration(d.int64()), Slowdown: d.float32()}
+	}
 	return d.end()
 }
 
@@ -177,10 +195,16 @@
 }
 
 // fields decodes the length of an array that stands for a type with n fields.
-func (d *decoder) fields(n uint32) {
-	if count := next(d, msgp.ReadArrayHeaderBytes); d.err == nil && count != n {
+func (d *decoder) fields(n uint32) { d.fieldsOr(n, n) }
+
+// fieldsOr decodes the length of an array that stands for a type with n or m fields, and
+// returns it.
+func (d *decoder) fieldsOr(n, m uint32) uint32 {
+	count := next(d, msgp.ReadArrayHeaderBytes)
+	if d.err == nil && count != n && count != m {
 		d.err = errFields
 	}
+	return count
 }
 
 func (d *decoder) notice() *Notice {
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -96,6 +96,14 @@
 	HasFanout   bool
 	Fanout      []ServiceCalls // if HasFanout, the calls that one run of the route causes
 	Notice      *Notice        // what the server says of itself, if anything
+	Outlook     *Outlook       // what the node expects of its server; nil if it does not say
+}
+
+// Outlook is what the node beside a server expects of it. Nodes choose servers by it.
+type Outlook struct {
+	Wait        time.Duration // until a further request starts
+	ServiceTime time.Duration // usual one of the route and caller of the offer, without calls
+	Slowdown    float32       // factor on it at present
 }
 
 // Notice is what a backend server has said of itself in its answers. It goes with
--- a/pkg/frame/frame_test.go
+++ b/pkg/frame/frame_test.go
@@ -43,6 +43,28 @@
 	require.Equal(t, uint64(8), c.ID)
 }
 
+// Guards against an outlook that is lost or damaged on its way, and against answers
+// without one that differ from those of nodes that know none.
+func TestOutlook(t *testing.T) {
+	without := frame.Answer{ID: 7, Status: 200, Load: 3, Head: []byte{}, Notice: &frame.Notice{ID: "i-1"}}
+	with := without
+	with.Outlook = &frame.Outlook{Wait: time.Millisecond, ServiceTime: 57 * time.Millisecond, Slowdown: 2.5}
+	for _, a := range []frame.Answer{without, with} {
+		data, err := message.Encode(&a)
+		require.NoError(t, err)
+		got, err := message.Decode[frame.Answer](data)
+		require.NoError(t, err)
+		require.Equal(t, a, got)
+	}
+	data, err := message.Encode(&without)
+	require.NoError(t, err)
+	const fourteenFields = 0x9e
+	require.Equal(t, byte(fourteenFields), data[0])
+	data[0]++
+	_, err = message.Decode[frame.Answer](data)
+	require.Error(t, err, "the outlook is missing")
+}
+
 // Guards against lengths that make a node wait forever or exhaust its memory.
 func TestInvalidLengths(t *testing.T) {
 	for _, data := range [][]byte{
