--- a/pkg/roster/placement_test.go
+++ b/pkg/roster/placement_test.go
@@ -135,6 +135,19 @@
 	}
 }
 
+// Guards against a slow server that gets requests of a short objective, and against a
+// fast one that is filled up with requests that have time.
+func TestSlowServerGetsRequestsWithTime(t *testing.T) {
+	const short, long = 100 * time.Millisecond, 1500 * time.Millisecond
+	r := newRoster("fast", "slow")
+	report(r, "slow", roster.Report{Limit: 10, Time: 110 * time.Millisecond})
+	report(r, "fast", roster.Report{Limit: 10, Time: 40 * time.Millisecond})
+	require.Equal(t, "fast", choose(r, start, long, 0.5), "there is room")
+	report(r, "fast", roster.Report{Load: 8, Limit: 10, Time: 40 * time.Millisecond})
+	require.Equal(t, "fast", choose(r, start, short, 0.5))
+	require.Equal(t, "slow", choose(r, start, long, 0.5))
+}
+
 // Guards against a server that has just started and gets more requests than it can run
 // before its first answer.
 func TestChooseForNewServer(t *testing.T) {
