--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -74,4 +74,5 @@
 	AllocatorChanged      = register(671, logrus.InfoLevel, "allocator of a part of the limits changed")
 	ServiceSheds          = register(680, logrus.WarnLevel, "service sheds requests")
 	ServiceRecovered      = register(681, logrus.InfoLevel, "service sheds no more requests")
+	ServerSpeedChanged    = register(690, logrus.InfoLevel, "server speed changed")
 )
--- a/internal/lab/overload/pattern.go
+++ b/internal/lab/overload/pattern.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/papayapath/papayapath/internal/lab/optimum"
@@ -33,6 +34,8 @@
 	LimitedService string
 	LimitedServers int
 	ServerRate     float64
+	// Variation is how requests and servers differ.
+	Variation Variation
 }
 
 // PatternError reports a pattern that is invalid for a scenario.
@@ -72,6 +75,10 @@
 		return &PatternError{field: "shedding-servers", reason: "must not be negative"}
 	case p.ShedStart < 0 || p.ShedTime < 0:
 		return &PatternError{field: "shed-time", reason: "must not be negative"}
+	case slices.ContainsFunc(p.Variation.Speeds, func(speed float64) bool { return !(speed > 0) }):
+		return &PatternError{field: "speeds", reason: "must be positive"}
+	case !known[p.Variation.NoisyService] || !known[p.Variation.ColdService]:
+		return &PatternError{field: "variation", reason: "names an unknown service"}
 	case p.ShedFraction < 0 || p.ShedFraction >= 1:
 		return &PatternError{field: "shed", reason: "must be at least 0 and less than 1"}
 	}
--- a/internal/lab/overload/server.go
+++ b/internal/lab/overload/server.go
@@ -5,6 +5,7 @@
 
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/workload"
 )
 
 const (
@@ -35,6 +36,7 @@
 	refused bool
 	report  roster.Report
 	rates   []rate // of services that shed
+	outlook roster.Outlook
 }
 
 // run is an offer at the node of the backend server that executes it.
@@ -43,6 +45,8 @@
 	started   time.Time
 	ticket    runner.Request[*run]
 	isRepeat  bool // the call has reached a server before
+	work      workload.Run
+	callTime  time.Duration
 	reply     func(answer)
 	nextIndex int // index of the next nested call
 	delay     time.Duration
@@ -86,7 +90,8 @@
 	r.reply(answer{
 		rates: n.pool.rates(),
 		kind:  k, delay: r.ticket.QueueTime(now) + r.delay, refused: r.refused,
-		report: roster.Report{Load: n.runner.Load(now), Limit: n.runner.Capacity(), Time: n.runner.Time(now), Share: n.share()},
+		report:  roster.Report{Load: n.runner.Load(now), Limit: n.runner.Capacity(), Time: n.runner.Time(now), Share: n.share()},
+		outlook: n.outlook(r.call.class),
 	})
 }
 
@@ -106,6 +111,7 @@
 	r.started = sim.Now()
 	sim.statistics.runs++
 	sim.recordArrival(r)
+	n.outlooks.workload.Start(r.started, r.call.class.route(), &r.work)
 	if n.named.Limited {
 		sim.statistics.limited[n.name] = append(sim.statistics.limited[n.name], r.started)
 	}
@@ -117,7 +123,11 @@
 		sim.AfterFunc(shedDelay, func() { n.end(r, shed) })
 		return
 	}
-	serviceTime := r.call.class.Work / n.speed * (1 - serviceTimeSpread + 2*serviceTimeSpread*sim.random.Float64())
+	size := r.call.size
+	if size == 0 {
+		size = sim.size(r.call.class)
+	}
+	serviceTime := size / n.speedNow()
 	sim.AfterFunc(milliseconds(serviceTime), func() { n.nextCall(r) })
 }
 
@@ -135,9 +145,11 @@
 		n.end(r, answered)
 		return
 	}
-	c := &call{class: class.calls[r.nextIndex], origin: n, priority: r.call.priority, end: r.call.end}
+	c := n.simulation.newCall(class.calls[r.nextIndex], n)
+	c.priority, c.end = r.call.priority, r.call.end
 	r.nextIndex++
 	c.done = func() {
+		r.callTime += n.simulation.Now().Sub(c.started)
 		r.delay += c.delay
 		r.refused = r.refused || c.refused || c.outcome == refused
 		if c.outcome != served {
@@ -154,6 +166,10 @@
 func (n *node) end(r *run, k kind) {
 	now := n.simulation.Now()
 	n.runner.Done(now, &r.ticket, k == answered)
+	n.outlooks.workload.End(now, &r.work, k == answered)
+	if k == answered {
+		n.outlooks.times.Add(now, r.call.class.route(), now.Sub(r.started)-r.callTime)
+	}
 	n.intake.Observe(now, r.started, n.named)
 	n.answer(r, k)
 	n.startQueued()
--- a/internal/lab/overload/shedding_test.go
+++ b/internal/lab/overload/shedding_test.go
@@ -24,9 +24,9 @@
 	// long the trouble lasts, and spends no retries on the less important requests that
 	// are in progress when it begins.
 	minShedWorth = 0.87
-	// maxLoss is the largest part of the worth that may be lost after the recovery.
+	// maxShedLoss is the largest part of the worth that may be lost after the recovery.
 	// Clients that were refused last return then, an overload of its own.
-	maxLoss = 0.1
+	maxShedLoss = 0.1
 	// maxWasted is the largest part of the runs that may fail for a call.
 	maxWasted = 0.02
 )
@@ -77,7 +77,7 @@
 				require.Less(t, shed.WastedRatio(), maxWasted)
 				require.Greater(t, shed.Served(l.urgent), shed.Served(l.other)+0.3)
 				require.LessOrEqual(t, sim.BudgetUse(l.bottleneck), 1.0)
-				require.Greater(t, after.Worth(), calm.Worth()-maxLoss)
+				require.Greater(t, after.Worth(), calm.Worth()-maxShedLoss)
 			})
 		}
 	}
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -107,6 +107,7 @@
 	switch {
 	case req.parent != nil:
 		req.parent.queueDelay += req.queueDelay
+		req.parent.placed.calls.end(now)
 		req.parent.overloaded = req.parent.overloaded || req.overloaded
 	case req.window == nil:
 	case req.delayUnknown:
@@ -182,6 +183,7 @@
 		}
 		req.offer.Nested = true
 		req.parent, req.withdrawn = parent, parent.withdrawnChannel()
+		parent.placed.calls.begin(now)
 		n.countRequest(now, req.service)
 		req.offer.Priority = parent.offer.Priority
 		n.markRerun(req)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -139,7 +139,8 @@
 	waiting            map[message.Route]*waitlist.List[*request] // requests that wait for a place in their window
 	starvation         *starvation.Detector[message.Route]        // of the requests of clients, by route
 	roster             *roster.Roster
-	rosterRevision     uint64 // registry revision that the roster reflects
+	placement          *placement // nil unless the settings ask for it
+	rosterRevision     uint64     // registry revision that the roster reflects
 	fanouts            map[message.Route][]frame.ServiceCalls
 	callsTraced        bool                     // a node has traced a nested call to its parent execution
 	calledServices     map[message.Route]string // services of the routes that the local backend server calls
@@ -192,6 +193,7 @@
 		waiting:          make(map[message.Route]*waitlist.List[*request]),
 		starvation:       starvation.New[message.Route](),
 		roster:           roster.New(),
+		placement:        newPlacement(env.Pool),
 		fanouts:          make(map[message.Route][]frame.ServiceCalls),
 		calledServices:   make(map[message.Route]string),
 		quarantine:       quarantine.New(quarantine.WithoutIsolation()),
@@ -325,11 +327,11 @@
 	}
 	if !req.offer.Repeatable && len(n.endingNodes) > 0 {
 		// A run that outlasts its node is lost. This node may exit later than the other.
-		if node := n.roster.Choose(now, req.service, rand.Float64(), isLasting, withinBudget); node != "" {
+		if node := n.chooseServer(now, req, isLasting, withinBudget); node != "" {
 			return node
 		}
 	}
-	if node := n.roster.Choose(now, req.service, rand.Float64(), isUsable, withinBudget); node != "" {
+	if node := n.chooseServer(now, req, isUsable, withinBudget); node != "" {
 		return node
 	}
 	return n.fallbackNode(req.service, req.triedNodes)
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -115,6 +115,14 @@
 	Fanout      []ServiceCalls // if HasFanout, the calls that one run of the route causes
 	Notice      *Notice        // what the server says of itself, if anything
 	Sheds       []ServiceRate  // services that shed requests, as far as the sender knows
+	Outlook     *Outlook       // what the node expects of its server; nil if it does not say
+}
+
+// Outlook is what the node beside a server expects of it. Nodes choose servers by it.
+type Outlook struct {
+	Wait        time.Duration // until a further request starts
+	ServiceTime time.Duration // usual one of the route and caller of the offer, without calls
+	Slowdown    float32       // factor on it at present
 }
 
 // ServiceRate is the part of the requests to a service that its servers shed, or to a
