Refuse no request as not run that a server has run and failed

Cause: a repeatable request that a server ran and answered with 500, or ended early with 504, is sent to another one. If that one refused it, the client got 503, which guarantees that the request has not run, and the customer got its token back. Change: such a run counts as one with an unknown outcome: the answer is 502.

--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -230,14 +230,14 @@
 		req.serverAttempts++
 	}
 	req.resends.record(r.pending.node, a)
-	if a.Sent && a.Outcome == outcome.Unknown {
+	failed := a.Outcome == outcome.Complete && (a.Status == fasthttp.StatusInternalServerError || n.endedEarly(now, req, a))
+	if failed || a.Sent && a.Outcome == outcome.Unknown {
 		decider := "answer"
 		if r.linkLost {
 			decider = "link"
 		}
 		req.unknownOutcome, req.lastRun = true, n.runOf(now, r.pending, decider)
 	}
-	failed := a.Outcome == outcome.Complete && (a.Status == fasthttp.StatusInternalServerError || n.endedEarly(now, req, a))
 	switch {
 	case a.Outcome == outcome.Complete && !failed:
 		n.stats.latency.Add(now, now.Sub(req.arrival))
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -43,7 +43,7 @@
 	openOffers      []uint64 // IDs of offers without a result
 	serverAttempts  int      // backend servers that the request may have reached
 	offerCount      int
-	unknownOutcome  bool                // a backend server may have run an earlier attempt
+	unknownOutcome  bool                // a backend server may have run an earlier attempt, or has and failed
 	parent          *execution          // execution that sent the request, if known
 	withdrawn       <-chan struct{}     // closed when the parent is withdrawn; nil without a parent
 	window          *window.Window      // window that counts the request; nil for nested calls
