Let requests of routes without an objective wait for tokens

Cause: a request waits for a token for an eighth of its latency objective, which is 0 for a route that has none. At a node that does not allocate tokens itself, each request was refused with 503 unless a token was left from one before it. Change: such a request waits for up to 125 ms. Result: TestLimitOfRouteWithoutObjective, red before (503).

--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -32,6 +32,9 @@
 	// tokenWaitDivisor divides the latency objective to give the longest time that a
 	// request waits for a token.
 	tokenWaitDivisor = 8
+	// defaultTokenWait is the same for a route without a latency objective. It covers
+	// requests to a second allocator after the first one has been slow.
+	defaultTokenWait = 125 * time.Millisecond
 )
 
 // newLimiter returns the limiter of the customers' requests.
@@ -68,7 +71,11 @@
 	if req.customer == nil || !req.customer.IsLimited() {
 		return outcome.None
 	}
-	maxWait := min(req.route.Objective()/tokenWaitDivisor, time.Until(req.deadline))
+	maxWait := defaultTokenWait
+	if objective := req.route.Objective(); objective > 0 {
+		maxWait = objective / tokenWaitDivisor
+	}
+	maxWait = min(maxWait, time.Until(req.deadline))
 	token, d := n.limiter.Admit(req.customer.Name(), maxWait, req.client.Disconnected)
 	switch d {
 	case quota.Admitted:
