Return the token of a request whose client left before it was sent

Cause: a request whose client has left ends in abandon, which kept its token. No server has run a request that has no open offer and no unknown outcome. Change: its token is returned. Result: TestTokenOfClientThatLeft, red before (no token is returned).

--- a/internal/sidecar/withdrawal.go
+++ b/internal/sidecar/withdrawal.go
@@ -15,6 +15,9 @@
 // abandon ends a request whose client has left.
 func (n *Node) abandon(req *request) ingress.Response {
 	open := len(req.openOffers)
+	if open == 0 && !req.unknownOutcome {
+		n.returnToken(req) // it has not run
+	}
 	n.cancelOffers(req, false)
 	req.delayUnknown = true
 	n.stats.abandoned.Inc(1)
