Tell refused requests to return by the first tokens of a term

Cause: while a node has been granted nearly nothing, refused requests were told to return 2 s after each other. One that was denied in the first half second of a term had those after it wait for 2 s, though each part had a token every 0.5 s. Change: without a rate of grants, the time until the next token is taken for the distance between two.

--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -259,6 +259,8 @@
 	gap := maxReturn
 	if rate := q.granted.at(now); rate*maxReturn.Seconds() > 1 {
 		gap = time.Duration(float64(time.Second) / rate)
+	} else if wait > 0 {
+		gap = min(wait, maxReturn) // nearly nothing has been granted, as at the start of a term
 	}
 	turn := max(wait, q.back.Sub(now))
 	switch {
--- a/pkg/quota/quota_test.go
+++ b/pkg/quota/quota_test.go
@@ -87,6 +87,25 @@
 	}
 }
 
+// Guards against a request that is told to return long after there is a token, because one
+// was denied before the first tokens were granted, as at the start of a term.
+func TestReturnAfterFirstTokens(t *testing.T) {
+	q := quota.New()
+	q.Take(origin)
+	empty(q, origin, 500*time.Millisecond)
+	q.Refused(origin)
+	q.RetryAfter(origin, 0, 0.5)
+	for range 4 {
+		q.Take(at(0.51))
+	}
+	for range parts {
+		for _, r := range q.Requests(at(0.51), parts, nil) {
+			q.Granted(at(0.51), at(0.51), r.Part, 1, validity, 500*time.Millisecond)
+		}
+	}
+	require.Less(t, q.RetryAfter(at(0.55), 400*time.Millisecond, 0.5), time.Second)
+}
+
 // Guards against a customer that is refused for as long as an absurd answer says.
 func TestEndlessWait(t *testing.T) {
 	q := quota.New()
