Survive a refusal of another node by the limit of a customer

Cause: the Retry-After of a request that is refused by a limit is that of its customer. The reason came from the answer of another node too: for a request without a customer, as on deployments without any, such an answer of a faulty node ended the process with a nil dereference. Change: only the entry node refuses by a limit; in an answer the reason counts as Unavailable. Result: TestScheduleOfPeerAnswers with the new reaction, a panic before.

--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -197,13 +197,18 @@
 
 // correctAnswer gives an answer of another node that is none an unknown outcome: one
 // without an outcome, or one whose status or header section would reach the client as a
-// malformed response, or as several.
+// malformed response, or as several. A refusal by the limit of a customer gets another
+// reason.
 func correctAnswer(a *frame.Answer) {
 	isValid := a.Outcome == outcome.NotRun ||
 		a.Outcome == outcome.Complete && a.Status >= fasthttp.StatusOK && a.Status <= maxStatus && framing.CheckFields(a.Head) == nil
 	if !isValid {
 		a.Outcome, a.Reason, a.Sent = outcome.Unknown, outcome.Broken, true
 	}
+	if a.Reason == outcome.Rate {
+		// Only the entry node applies the limit of a customer, if there is one.
+		a.Reason = outcome.Unavailable
+	}
 }
 
 // maxStatus is the highest status that HTTP defines (RFC 9110, section 15).
