Believe the log rather than an announcement

Cause: an announced record with an absurd generation or end was newer than all that the log has. A node that got one never claimed the part again, and asked the node that it names for tokens: its appends failed, and the reads that followed were ignored as older. Change: a read whose record is older replaces what is known. A read that was overtaken by an announcement does so too; an append at its end fails.

--- a/pkg/term/term.go
+++ b/pkg/term/term.go
@@ -236,6 +236,11 @@
 		return
 	}
 	t.doubtful = false
+	if generation < t.generation || generation == t.generation && end < t.end {
+		// Either the read was overtaken by an announcement, and an append at its end will
+		// fail, or the log has no such record as was announced.
+		t.known = false
+	}
 	t.Observe(now, r, end, generation)
 }
 
--- a/pkg/term/term_test.go
+++ b/pkg/term/term_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"testing"
 	"time"
 
@@ -262,3 +263,28 @@
 	}
 	require.Less(t, all, 69*60/8)
 }
+
+// Guards against a part that a node never claims again after an announcement that no
+// record of the log confirms, as of a faulty node.
+func TestAnnouncementThatTheLogRefutes(t *testing.T) {
+	now := time.Date(2026, 12, 6, 0, 0, 0, 0, time.UTC)
+	for _, absurd := range []term.Record{
+		{Holder: "x", Incarnation: 1, Number: 1, Generation: math.MaxUint64},
+		{Holder: "x", Incarnation: 1, Number: 1, Generation: 1},
+	} {
+		state := term.New(0, "a", 1, term.WithFirstGeneration(1))
+		state.Observe(now, absurd, math.MaxInt64, absurd.Generation)
+		now = now.Add(time.Minute)
+		a := state.Next(now, 0, 0)
+		require.Equal(t, term.Append, a.Kind)
+		state.Begin(now, a)
+		state.Appended(now, 0, 1, term.Conflict)
+		a = state.Next(now, 0, 0)
+		require.Equal(t, term.Read, a.Kind)
+		state.Begin(now, a)
+		state.Refreshed(now, term.Record{}, 0, 1, nil)
+		a = state.Next(now, 0, 0)
+		require.Equal(t, term.Append, a.Kind)
+		require.Zero(t, a.At)
+	}
+}
