Correct the comment on what a keyring keeps

Cause: it said that a dump of the memory shows no key, but each node keeps the configuration in force with its keys, to pass it on. Change: the comment.

--- a/pkg/keyring/keyring.go
+++ b/pkg/keyring/keyring.go
@@ -15,8 +15,7 @@
 type digest [sha256.Size]byte
 
 // Keyring maps the API keys of one configuration version to customers. It holds
-// digests, so that the time of a lookup tells nothing about similar keys and a dump of
-// the memory shows none.
+// digests, so that the time of a lookup tells nothing about similar keys.
 type Keyring struct {
 	byKey     map[digest]*customer.Customer
 	customers map[string]*customer.Customer
