Begin no requests of a kind that fails for lack of capacity

The window of a route cannot fall below one request at each of 69 entry nodes. Change: pkg/prospect keeps how requests of each kind end that were begun without precedence; while most fail for lack of capacity, one a second is begun at a node, and the others are refused at once. pkg/ratio has what pkg/starvation and pkg/prospect share. In force with the contract pool.

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -94,7 +94,11 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.starvation.Record(time.Now(), req.routeKey, served)
+	now := time.Now()
+	n.starvation.Record(now, req.routeKey, served)
+	if req.serverAttempts > 0 && !req.isPromoted && (served || req.overloaded) {
+		n.prospects.Record(now, req.routeKey, served)
+	}
 }
 
 // recordEnd adds the queue delay of a finished request to the execution that sent
@@ -211,6 +215,10 @@
 	case !n.coversDemand(now, req):
 		return outcome.Budget, nil
 	case isStarved:
+		req.isPromoted = true
+	case n.env.Pool && !n.prospects.Allows(now, req.routeKey):
+		n.stats.hopeless.Inc(1)
+		return outcome.Overload, nil
 	case w.Admit(now):
 		req.window, req.admitted = w, now
 	case n.callsTraced:
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -32,6 +32,7 @@
 	retries        metrics.Counter
 	malformed      metrics.Counter
 	unrouted       metrics.Counter
+	hopeless       metrics.Counter // requests refused because others of their kind failed for lack of capacity
 	starved        metrics.Counter // requests with precedence, because others of their kind were not served
 	unauthorized   metrics.Counter // requests without a valid API key
 	unconfirmed    metrics.Counter // requests with a key that only a newer configuration may have
@@ -66,6 +67,7 @@
 		retries:        counter("requests_retried"),
 		malformed:      counter("requests_malformed"),
 		unrouted:       counter("requests_unrouted"),
+		hopeless:       counter("requests_hopeless"),
 		starved:        counter("requests_starved"),
 		unauthorized:   counter("requests_unauthorized"),
 		unconfirmed:    counter("requests_unconfirmed"),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -32,6 +32,7 @@
 	"github.com/papayapath/papayapath/pkg/notice"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/payload"
+	"github.com/papayapath/papayapath/pkg/prospect"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/registry"
@@ -137,6 +138,7 @@
 	runLatencies       map[message.Route]*latency.Estimator // of offers to the local backend server
 	windows            map[message.Route]*window.Window
 	waiting            map[message.Route]*waitlist.List[*request] // requests that wait for a place in their window
+	prospects          *prospect.Tracker[message.Route]           // of the requests of clients, by route
 	starvation         *starvation.Detector[message.Route]        // of the requests of clients, by route
 	roster             *roster.Roster
 	placement          *placement // nil unless the settings ask for it
@@ -191,6 +193,7 @@
 		latencies:        make(map[message.Route]*latency.Estimator),
 		windows:          make(map[message.Route]*window.Window),
 		waiting:          make(map[message.Route]*waitlist.List[*request]),
+		prospects:        prospect.New[message.Route](),
 		starvation:       starvation.New[message.Route](),
 		roster:           roster.New(),
 		placement:        newPlacement(env.Pool),
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -48,6 +48,7 @@
 	withdrawn       <-chan struct{}     // closed when the parent is withdrawn; nil without a parent
 	window          *window.Window      // window that counts the request; nil for nested calls
 	admitted        time.Time           // if window is not nil, when it admitted the request
+	isPromoted      bool                // it has precedence because its kind was starved
 	rejection       *windowState        // state of the window that refused the request, if any
 	admission       chan outcome.Reason // if the request waits for a place in its window, the decision
 	queueDelay      time.Duration       // time queued at backend servers, including nested calls
--- a/pkg/starvation/detector.go
+++ b/pkg/starvation/detector.go
@@ -1,8 +1,9 @@
 package starvation
 
 import (
-	"math"
 	"time"
+
+	"github.com/papayapath/papayapath/pkg/ratio"
 )
 
 const (
@@ -30,19 +31,14 @@
 //
 // A Detector is not safe for concurrent use. Create it with New.
 type Detector[K comparable] struct {
-	all   rate
-	kinds map[K]*rate
-}
-
-// rate counts requests, recent ones more than older ones.
-type rate struct {
-	requests float64
-	served   float64
-	updated  time.Time
+	all   *ratio.Ratio
+	kinds map[K]*ratio.Ratio
 }
 
 // New returns a detector that has seen no request.
-func New[K comparable]() *Detector[K] { return &Detector[K]{kinds: make(map[K]*rate)} }
+func New[K comparable]() *Detector[K] {
+	return &Detector[K]{all: ratio.New(memory), kinds: make(map[K]*ratio.Ratio)}
+}
 
 // Record records the end of a request of a kind.
 func (d *Detector[K]) Record(now time.Time, kind K, served bool) {
@@ -51,42 +47,19 @@
 		if len(d.kinds) >= maxKinds {
 			clear(d.kinds)
 		}
-		r = &rate{}
+		r = ratio.New(memory)
 		d.kinds[kind] = r
 	}
-	r.add(now, served)
-	d.all.add(now, served)
+	r.Add(now, served)
+	d.all.Add(now, served)
 }
 
 // IsStarved reports whether requests of a kind are served much less often than all
 // requests.
 func (d *Detector[K]) IsStarved(now time.Time, kind K) bool {
 	r := d.kinds[kind]
-	if r == nil {
-		return false
-	}
-	r.decay(now)
-	d.all.decay(now)
-	if r.requests < minRequests || d.all.served < minRequests {
+	if r == nil || r.Events(now) < minRequests || d.all.Successes(now) < minRequests {
 		return false
 	}
-	return r.served/r.requests < minShare*d.all.served/d.all.requests
-}
-
-func (r *rate) add(now time.Time, served bool) {
-	r.decay(now)
-	r.requests++
-	if served {
-		r.served++
-	}
-}
-
-// decay reduces the weight of the requests so far to that at now.
-func (r *rate) decay(now time.Time) {
-	if elapsed := now.Sub(r.updated); elapsed > 0 {
-		factor := math.Exp(-elapsed.Seconds() / memory.Seconds())
-		r.requests *= factor
-		r.served *= factor
-		r.updated = now
-	}
+	return r.Fraction(now) < minShare*d.all.Fraction(now)
 }
