Abandon a request whose client left while it waited for a window

Cause: it was answered with 503 and counted and logged as refused, like one that found no place. Change: it ends like any other request whose client has left. Result: TestDepartureDuringWaitForWindow, red before.

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -73,6 +73,9 @@
 	}
 	if reason != outcome.None {
 		n.recordService(req, false)
+		if admission != nil && req.isDisconnected() {
+			return n.abandon(req)
+		}
 		return n.refuse(req, reason)
 	}
 	if reason := n.takeToken(req); reason != outcome.None {
