--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -18,6 +18,7 @@
 	"github.com/papayapath/papayapath/internal/ingress"
 	"github.com/papayapath/papayapath/internal/journal"
 	"github.com/papayapath/papayapath/internal/peer"
+	"github.com/papayapath/papayapath/internal/ratelimit"
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/callgraph"
@@ -37,7 +38,9 @@
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/runner"
+	"github.com/papayapath/papayapath/pkg/starvation"
 	"github.com/papayapath/papayapath/pkg/transit"
+	"github.com/papayapath/papayapath/pkg/waitlist"
 	"github.com/papayapath/papayapath/pkg/window"
 	"github.com/papayapath/papayapath/pkg/withdrawal"
 )
@@ -87,6 +90,8 @@
 	// IsConflict reports whether a log error means that a partition does not end at the
 	// offset that was the condition of an append.
 	IsConflict func(err error) bool
+	// IsRejected reports whether a log error means that a call had no effect.
+	IsRejected func(err error) bool
 }
 
 // Node accepts client requests and executes offers on the local backend server.
@@ -107,6 +112,8 @@
 	table        atomic.Pointer[routing.Table]
 	offerCount   atomic.Uint64 // number of offers sent, and ID of the latest
 	rewriteEntry atomic.Bool   // the platform log may have lost the local entry
+	limiter      *ratelimit.Limiter
+	limiterRuns  atomic.Bool // a configuration has had a customer with a limit
 
 	exiting       chan struct{} // closed when a stopping node exits
 	unsentAnswers atomic.Int64  // answers to offers that have not been passed on
@@ -129,6 +136,8 @@
 	latencies          map[message.Route]*latency.Estimator
 	runLatencies       map[message.Route]*latency.Estimator // of offers to the local backend server
 	windows            map[message.Route]*window.Window
+	waiting            map[message.Route]*waitlist.List[*request] // requests that wait for a place in their window
+	starvation         *starvation.Detector[message.Route]        // of the requests of clients, by route
 	roster             *roster.Roster
 	rosterRevision     uint64 // registry revision that the roster reflects
 	fanouts            map[message.Route][]frame.ServiceCalls
@@ -179,6 +188,8 @@
 		callGraph:        callgraph.New(),
 		latencies:        make(map[message.Route]*latency.Estimator),
 		windows:          make(map[message.Route]*window.Window),
+		waiting:          make(map[message.Route]*waitlist.List[*request]),
+		starvation:       starvation.New[message.Route](),
 		roster:           roster.New(),
 		fanouts:          make(map[message.Route][]frame.ServiceCalls),
 		calledServices:   make(map[message.Route]string),
@@ -210,6 +221,7 @@
 		Service:     env.Service,
 	}
 	n.registry.Merge(now, n.self)
+	n.limiter = n.newLimiter()
 	return n
 }
 
--- a/pkg/allocator/doc.go
+++ b/pkg/allocator/doc.go
@@ -1,3 +1,3 @@
-// Package allocator divides the rate of a customer among the nodes at which
-// the customer is active.
+// Package allocator grants tokens for the requests of customers with a limit. A node
+// grants those of the parts of the limits for which it holds the term.
 package allocator
