--- a/review/standin/configuration.go
+++ b/review/standin/configuration.go
@@ -10,18 +10,10 @@
 	Name, Kind, Host, Prefix, Service string
 	ObjectiveMS, TimeoutMS            int
 	Priority, Attempts                int
-	Open                              bool // requests need no key
-}
-
-// Customer is a customer of the operator's configuration.
-type Customer struct {
-	Name        string
-	Keys        []string
-	Rate, Burst float64
 }
 
 // Configuration returns the document of a version.
-func Configuration(version int, routes []Route, services []string, customers ...Customer) ([]byte, error) {
+func Configuration(version int, routes []Route, services []string) ([]byte, error) {
 	type object = map[string]any
 	var listeners, clusters []object
 	byHost := make(map[string][]object)
@@ -31,7 +23,7 @@
 			hosts = append(hosts, r.Host)
 		}
 		byHost[r.Host] = append(byHost[r.Host], object{
-			"name": r.Name, "route_kind": r.Kind, "target_latency_ms": r.ObjectiveMS, "priority": r.Priority, "allow_anonymous": r.Open,
+			"name": r.Name, "route_kind": r.Kind, "target_latency_ms": r.ObjectiveMS, "priority": r.Priority,
 			"match":  object{"path_prefix": r.Prefix},
 			"action": object{"service": r.Service, "timeout_ms": r.TimeoutMS, "max_attempts": r.Attempts},
 		})
@@ -42,15 +34,11 @@
 	for _, s := range services {
 		clusters = append(clusters, object{"name": s, "health_path": "/healthz", "max_connections": 1522, "protocol": "h1", "tls": false})
 	}
-	var tenants []object
-	for _, c := range customers {
-		tenants = append(tenants, object{"name": c.Name, "api_keys": c.Keys, "rate_per_s": c.Rate, "burst": c.Burst})
-	}
 	return json.Marshal(object{
 		"version": fmt.Sprintf("%08x", version),
 		"limits": object{
 			"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
 		},
-		"tenants": tenants, "listeners": listeners, "clusters": clusters,
+		"listeners": listeners, "clusters": clusters,
 	})
 }
