--- a/internal/lab/program/soak.go
+++ b/internal/lab/program/soak.go
@@ -29,7 +29,6 @@
 	seed             uint64
 	seeds            int
 	ignoresDeadlines bool
-	judgesLimits     bool
 }
 
 // Name returns the name of the subcommand.
@@ -58,7 +57,6 @@
 	f.StringVar(&c.replay, "replay", "", "file with a schedule to be played in place of seeds")
 	f.Uint64Var(&c.seed, "seed", 1, "first seed")
 	f.IntVar(&c.seeds, "seeds", 1, "number of seeds")
-	f.BoolVar(&c.judgesLimits, "limits", false, "judge the limits of customers, which nodes do not keep yet")
 	f.BoolVar(&c.ignoresDeadlines, "ignore-deadlines", false, "some servers ignore the deadlines that they are handed")
 }
 
@@ -124,11 +122,7 @@
 	if err := w.Play(s); err != nil {
 		return err
 	}
-	var options []soak.JudgeOption
-	if c.judgesLimits {
-		options = append(options, soak.WithLimits())
-	}
-	r := soak.NewReport(seed, w.Records(), options...)
+	r := soak.NewReport(seed, w.Records())
 	write := r.Text
 	if c.format == "json" {
 		write = r.JSON
