Add a queue that serves earliest deadline first within a level

Cause: pkg/queue knows the order of arrival only, so a request with 100 ms left until its objective waits behind one with 3 s.

--- /dev/null
+++ b/pkg/edf/doc.go
@@ -0,0 +1,3 @@
+// Package edf implements a priority queue that serves the items of one level earliest
+// deadline first.
+package edf
