Order the queue of a runner by the latest useful start

Cause: requests with objectives of different length share one queue. Change: runner.WithDeadlines; requests have Useful and Usual; workload.Usual tells how long runs of a kind hold a slot. Without the option nothing changes.

--- a/pkg/runner/runner.go
+++ b/pkg/runner/runner.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/papayapath/papayapath/pkg/priority"
-	"github.com/papayapath/papayapath/pkg/queue"
 )
 
 const (
@@ -36,8 +35,13 @@
 	Value    T
 	Priority priority.Priority
 	Expires  time.Time // deadline of the answer
+	// Useful is the time until which the answer meets the latency objective of the
+	// client's request. If it is zero, Expires stands for it.
+	Useful time.Time
+	// Usual is the expected service time, or 0 if only that of all requests is known.
+	Usual time.Duration
 
-	handle  queue.Handle
+	handle  int32 // in the queue
 	arrived time.Time
 	started time.Time
 	queued  bool
@@ -70,11 +74,20 @@
 // Option changes a default of New.
 type Option func(*config)
 
-type config struct{ pacer Pacer }
+type config struct {
+	pacer      Pacer
+	byDeadline bool
+}
 
 // WithPacer limits the rate at which requests are started.
 func WithPacer(p Pacer) Option { return func(c *config) { c.pacer = p } }
 
+// WithDeadlines orders the queued requests of one importance by the latest start at which
+// they meet their objective. Those that can no longer meet it follow, by the latest start
+// at which they meet their deadline. Without it, requests of one priority start in the order
+// of their arrival.
+func WithDeadlines() Option { return func(c *config) { c.byDeadline = true } }
+
 // unpaced is a Pacer without a limit.
 type unpaced struct{}
 
@@ -91,7 +104,7 @@
 	slots          int
 	running        int
 	pacer          Pacer
-	queue          *queue.Queue[*Request[T]]
+	queue          waiting[T]
 	serviceTime    time.Duration // weighted mean of recent runs
 	epoch          time.Time     // reference time of startOffsetSum
 	startOffsetSum time.Duration // sum over the running requests of start time minus epoch
@@ -103,7 +116,11 @@
 	for _, o := range options {
 		o(&c)
 	}
-	return &Runner[T]{slots: defaultSlots, pacer: c.pacer, queue: queue.New[*Request[T]]()}
+	r := &Runner[T]{slots: defaultSlots, pacer: c.pacer, queue: newArrivals[T]()}
+	if c.byDeadline {
+		r.queue = newDeadlines[T]()
+	}
+	return r
 }
 
 // SetSlots sets the number of slots that the server has announced. Values below
@@ -155,16 +172,17 @@
 	if r.missesDeadline(now, req) {
 		return Refused, nil
 	}
-	if r.queue.Len() >= r.queueLimit() {
-		lowest, ok := r.queue.Lowest()
-		if !ok || lowest.Priority >= req.Priority {
-			return Refused, nil
-		}
-		evicted, _ = r.queue.Evict()
+	req.queued = true
+	usual := req.Usual
+	if usual == 0 {
+		usual = r.serviceTime
+	}
+	if evicted = r.queue.add(now, req, usual, req.Expires.Add(-r.serviceTime), r.queueLimit()); evicted != nil {
 		evicted.queued = false
 	}
-	req.queued = true
-	req.handle = r.queue.Push(req.Priority, req.Expires.Add(-r.serviceTime), req)
+	if evicted == req {
+		return Refused, nil
+	}
 	return Queued, evicted
 }
 
@@ -201,7 +219,7 @@
 	if r.running >= r.Limit() || r.pacer.Delay(now) > 0 {
 		return nil
 	}
-	req, ok := r.queue.Pop()
+	req, ok := r.queue.pop(now)
 	if !ok {
 		return nil
 	}
@@ -236,7 +254,7 @@
 		return false
 	}
 	req.queued = false
-	r.queue.Remove(req.handle)
+	r.queue.remove(req)
 	return true
 }
 
@@ -244,7 +262,7 @@
 // and appends them to out.
 func (r *Runner[T]) Expire(now time.Time, out []*Request[T]) []*Request[T] {
 	first := len(out)
-	out = r.queue.AppendExpired(now, out)
+	out = r.queue.appendExpired(now, out)
 	for _, req := range out[first:] {
 		r.Cancel(req)
 	}
@@ -254,7 +272,7 @@
 // Flush removes all queued requests and appends them to out.
 func (r *Runner[T]) Flush(out []*Request[T]) []*Request[T] {
 	for {
-		req, ok := r.queue.Pop()
+		req, ok := r.queue.pop(time.Time{})
 		if !ok {
 			return out
 		}
--- a/pkg/workload/tracker.go
+++ b/pkg/workload/tracker.go
@@ -84,6 +84,15 @@
 	t.mean += meanWeight * (elapsed - t.mean)
 }
 
+// Usual returns the mean time for which a run of a kind holds a slot, or that of all runs
+// if too few of the kind are known.
+func (t *Tracker) Usual(key message.Route) time.Duration {
+	if d := t.kinds[key]; d != nil && d.Known() {
+		return duration(d.Mean())
+	}
+	return duration(t.mean)
+}
+
 // refresh adds up the remaining work of the running requests.
 func (t *Tracker) refresh(now time.Time) {
 	if now.Sub(t.refreshed) < refreshInterval {
