Tell the objective of the client's request in offers

Cause: the node beside a server does not know by when an answer is useful. Change: frame.Offer.Objective, a further field that is absent if it is 0, so offers of nodes that do not send it have the same bytes as before. Result: tests of pkg/frame are green.

--- a/pkg/frame/codec.go
+++ b/pkg/frame/codec.go
@@ -16,6 +16,8 @@
 // frames of each request: a codec that inspects the type takes many times as long.
 
 const (
+	// offerFields is the number of fields of an offer without an objective, which is the
+	// last field.
 	offerFields = 17
 	// answerFields is the number of fields of an answer without an outlook, which is
 	// the last field.
@@ -35,7 +37,11 @@
 
 // AppendTo appends the encoded offer to dst.
 func (o *Offer) AppendTo(dst []byte) []byte {
-	dst = msgp.AppendArrayHeader(dst, offerFields)
+	fields := uint32(offerFields)
+	if o.Objective != 0 {
+		fields++
+	}
+	dst = msgp.AppendArrayHeader(dst, fields)
 	dst = msgp.AppendUint64(dst, o.ID)
 	dst = msgp.AppendString(dst, o.Request)
 	dst = msgp.AppendString(dst, o.Service)
@@ -52,13 +58,17 @@
 	dst = msgp.AppendBytes(dst, o.Head)
 	dst = o.Notice.appendTo(dst)
 	dst = msgp.AppendUint8(dst, uint8(o.Repeat))
-	return msgp.AppendInt(dst, o.Credit)
+	dst = msgp.AppendInt(dst, o.Credit)
+	if o.Objective == 0 {
+		return dst
+	}
+	return msgp.AppendInt64(dst, int64(o.Objective))
 }
 
 // DecodeFrom decodes the offer from data, of which it keeps a part.
 func (o *Offer) DecodeFrom(data []byte) error {
 	d := decoder{rest: data}
-	d.fields(offerFields)
+	hasObjective := d.fieldsOr(offerFields, offerFields+1) == offerFields+1
 	o.ID = d.uint64()
 	o.Request = d.string()
 	o.Service = d.string()
@@ -76,6 +86,9 @@
 	o.Notice = d.notice()
 	o.Repeat = Repeat(d.uint8())
 	o.Credit = d.int()
+	if hasObjective {
+		o.Objective = time.Duration(d.int64())
+	}
 	return d.end()
 }
 
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -86,6 +86,9 @@
 	// Repeat and Credit are zero unless the retry budget is spent at the servers.
 	Repeat Repeat
 	Credit int // requests and calls of the service that count for the receiver
+	// Objective is the time from Sent until the latency objective of the client's request,
+	// negative if that has passed and 0 if the sender does not tell.
+	Objective time.Duration
 }
 
 // Repeat tells whether a request or call has been sent to a server of its service before.
--- a/pkg/frame/frame_test.go
+++ b/pkg/frame/frame_test.go
@@ -65,6 +65,27 @@
 	require.Error(t, err, "the outlook is missing")
 }
 
+// Guards against an objective that is lost or damaged on its way, and against offers
+// without one that differ from those of nodes that send none.
+func TestObjective(t *testing.T) {
+	without := frame.Offer{ID: 7, Request: "r", Wait: time.Second, Head: []byte{}, Credit: 2}
+	with := without
+	with.Objective = -3 * time.Millisecond
+	for _, o := range []frame.Offer{without, with} {
+		data, err := message.Encode(&o)
+		require.NoError(t, err)
+		got, err := message.Decode[frame.Offer](data)
+		require.NoError(t, err)
+		require.Equal(t, o, got)
+	}
+	data, err := message.Encode(&without)
+	require.NoError(t, err)
+	require.Equal(t, []byte{0xdc, 0, 17}, data[:3], "array of 17 fields")
+	data[2]++
+	_, err = message.Decode[frame.Offer](data)
+	require.Error(t, err, "the objective is missing")
+}
+
 // Guards against lengths that make a node wait forever or exhaust its memory.
 func TestInvalidLengths(t *testing.T) {
 	for _, data := range [][]byte{
--- a/pkg/frame/fuzz_test.go
+++ b/pkg/frame/fuzz_test.go
@@ -38,6 +38,7 @@
 	}
 	notice := &frame.Notice{ID: "i-1", Born: 7}
 	add(message.Encode(&frame.Offer{ID: 1, Request: "r", Wait: time.Second, Head: []byte("GET / HTTP/1.1\r\n"), Notice: notice, Repeat: frame.Resent, Credit: 3}))
+	add(message.Encode(&frame.Offer{ID: 1, Request: "r", Objective: -time.Second}))
 	add(message.Encode(&frame.Answer{ID: 1, Outcome: outcome.Complete, Status: 200, HasFanout: true, Fanout: []frame.ServiceCalls{{Service: "s", Calls: 2}}, Notice: notice, Sheds: []frame.ServiceRate{{Service: "s", Rate: 0.5}}}))
 	add(message.Encode(frame.Cancel{ID: 1, Queued: true}))
 	add(message.Encode(frame.Entries{Entries: []registry.Entry{{Node: "10.0.0.1:7620", Incarnation: 4}}}))
