Simulate the order of queues by the latest useful start

Cause: whether an order by deadline lets many requests begin and few end has to be seen before it is used. Change: with the pool, calls carry the objective of the client's request; -order-of-arrival keeps the order before.

--- a/internal/lab/overload/client.go
+++ b/internal/lab/overload/client.go
@@ -52,7 +52,7 @@
 	}
 	c := sim.newCall(r.class, n)
 	c.end, c.priority = r.start.Add(r.class.timeout), priority.New(r.class.level, strconv.FormatUint(sim.requests, 10))
-	c.isRoot = true
+	c.useful, c.isRoot = now.Add(r.class.objective), true
 	c.done = func() {
 		admission.End(sim.Now(), window.Sample{Start: now, QueueDelay: c.delay, Refused: c.refused || c.outcome == refused})
 		switch c.outcome {
--- a/internal/lab/overload/node.go
+++ b/internal/lab/overload/node.go
@@ -61,7 +61,11 @@
 		windows: make(map[*class]*window.Window), latencies: make(map[*class]*latency.Estimator),
 		allowances: make(map[string]*allowance.Allowance),
 	}
-	n.runner = runner.New[*run](runner.WithPacer(n.intake))
+	options := []runner.Option{runner.WithPacer(n.intake)}
+	if sim.pooled && !sim.byArrival {
+		options = append(options, runner.WithDeadlines())
+	}
+	n.runner = runner.New[*run](options...)
 	if n.speed == 0 {
 		n.speed = 1
 	}
@@ -149,6 +153,7 @@
 	started  time.Time
 	size     float64 // service time at a server of speed 1, in ms
 	end      time.Time
+	useful   time.Time // until which the answer meets the objective of the client's request
 	tried    []string
 	delay    time.Duration
 	refused  bool // a nested call was refused for lack of capacity
--- a/internal/lab/overload/server.go
+++ b/internal/lab/overload/server.go
@@ -61,7 +61,7 @@
 		n.answer(r, unfunded)
 		return
 	}
-	r.ticket = runner.Request[*run]{Value: r, Priority: c.priority, Expires: c.end}
+	r.ticket = runner.Request[*run]{Value: r, Priority: c.priority, Expires: c.end, Useful: c.useful, Usual: n.outlooks.workload.Usual(c.class.route())}
 	decision, evicted := n.runner.Offer(now, &r.ticket)
 	if evicted != nil {
 		n.answer(evicted.Value, rejected)
@@ -146,7 +146,7 @@
 		return
 	}
 	c := n.simulation.newCall(class.calls[r.nextIndex], n)
-	c.priority, c.end = r.call.priority, r.call.end
+	c.priority, c.end, c.useful = r.call.priority, r.call.end, r.call.useful
 	r.nextIndex++
 	c.done = func() {
 		r.callTime += n.simulation.Now().Sub(c.started)
--- a/internal/lab/overload/simulation.go
+++ b/internal/lab/overload/simulation.go
@@ -38,6 +38,7 @@
 	requests    uint64
 	statistics  Statistics
 	pooled      bool
+	byArrival   bool
 	arrivals    map[string]*arrivals // by service
 }
 
@@ -69,10 +70,14 @@
 type Option func(*Simulation)
 
 // WithPool puts the parts of the product in force that share the servers of all
-// services by importance: retry budgets at the servers, and admission by the retries
-// that requests need.
+// services by importance: retry budgets at the servers, admission by the retries that
+// requests need, and the order of queues by the time until the objective.
 func WithPool() Option { return func(sim *Simulation) { sim.pooled = true } }
 
+// WithOrderOfArrival orders the requests of one priority beside a server by their arrival
+// also if the pool is in force.
+func WithOrderOfArrival() Option { return func(sim *Simulation) { sim.byArrival = true } }
+
 // New returns a simulation of a scenario, with one node for each server. It
 // returns a *PatternError if the pattern is invalid for the scenario, or an
 // *importance.NameError if a class has an unknown importance.
--- a/internal/lab/overload/variation.go
+++ b/internal/lab/overload/variation.go
@@ -191,6 +191,9 @@
 	switch sim.pattern.Variation.Choice {
 	case ByOutlook:
 		req := roster.Request{Service: c.class.Service, Route: c.class.route(), Objective: c.class.objective - now.Sub(c.started)}
+		if sim.pooled {
+			req.Objective = c.useful.Sub(now)
+		}
 		return n.roster.ChooseFor(now, req, sim.random.Float64(), usable, budgetAllows)
 	case KnownSize:
 		return n.chooseByTruth(c, usable)
--- a/internal/lab/program/overload.go
+++ b/internal/lab/program/overload.go
@@ -21,6 +21,7 @@
 type overloadCommand struct {
 	pattern  overload.Pattern
 	pooled   bool
+	arrival  bool
 	seed     uint64
 	warmUp   time.Duration
 	measured time.Duration
@@ -54,6 +55,7 @@
 	f.DurationVar(&c.pattern.ShedStart, "shed-start", 0, "virtual time from which they do")
 	f.DurationVar(&c.pattern.ShedTime, "shed-time", 0, "time for which they do; 0: always")
 	f.BoolVar(&c.pooled, "pool", false, "put in force what \"pool\" under contracts in the settings does")
+	f.BoolVar(&c.arrival, "order-of-arrival", false, "order requests of one priority beside a server by their arrival, despite -pool")
 	f.StringVar(&c.pattern.LimitedService, "limited", "", "service with servers that name a limit in their answers")
 	f.IntVar(&c.pattern.LimitedServers, "limited-servers", 1, "number of these servers")
 	f.Float64Var(&c.pattern.ServerRate, "server-rate", 10, "requests a second that each of them takes")
@@ -108,6 +110,9 @@
 	if c.pooled {
 		options = append(options, overload.WithPool())
 	}
+	if c.arrival {
+		options = append(options, overload.WithOrderOfArrival())
+	}
 	world, err := overload.New(&s, c.pattern, c.seed, options...)
 	if err != nil {
 		return err
