Order the queue beside a server by the client's objective

Cause: on the platform, a request with little time left waited behind one with much, and calls were placed by the objective of their own route. Change: where the settings name pool, offers carry the time until the objective, calls inherit it, and the runner orders by it; server_requests_late counts what waited too long.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -36,6 +36,7 @@
 	queueDelay time.Duration // queue delay of its nested calls
 	overloaded bool          // a nested call was refused for lack of capacity
 	placed     placedRun
+	objective  time.Time // latency objective of the client's request, zero if unknown
 }
 
 // executionKey identifies an execution by the ID of its offer, which is unique per
@@ -66,6 +67,7 @@
 	ex.ticket = runner.Request[*execution]{
 		Value: ex, Priority: o.Priority, Expires: now.Add(ex.offer.Wait),
 	}
+	n.setObjective(now, ex, delay)
 	if delay > maxUnconfirmedDelay {
 		n.stats.delayed.Inc(1)
 	}
@@ -161,6 +163,7 @@
 	// It may have been queued before the signal to stop.
 	ex.ticket.Expires = n.boundBeforeExit(ex.ticket.Expires)
 	n.stats.sends.Inc(1)
+	n.countLateSend(now, ex)
 	n.placement.start(now, ex)
 	n.callGraph.Run(ex.offer.Route)
 	n.runningByRequest[ex.offer.Request] = ex
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -186,6 +186,7 @@
 		parent.placed.calls.begin(now)
 		n.countRequest(now, req.service)
 		req.offer.Priority = parent.offer.Priority
+		n.inheritObjective(req)
 		n.markRerun(req)
 		n.callGraph.Call(parent.offer.Route, req.routeKey)
 		n.calledServices[req.routeKey] = req.service
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -49,6 +49,7 @@
 	resendsRefused metrics.Counter     // offers refused because the retry budget is used up
 	resends        metrics.Counter     // requests sent again after servers shed them
 	sends          metrics.Counter     // requests sent to the local backend server
+	lateSends      metrics.Counter     // those among them that waited until they could not meet their objective
 	latency        histogram.Histogram // of complete responses
 	serviceTime    histogram.Histogram // of executions on the local backend server
 }
@@ -80,6 +81,7 @@
 		cutRuns:        counter("runs_cut"),
 		logFailures:    counter("log_failures"),
 		sends:          counter("server_requests"),
+		lateSends:      counter("server_requests_late"),
 		budgetRefused:  counter("requests_refused_budget"),
 		resendsRefused: counter("offers_refused_budget"),
 		resends:        counter("requests_resent"),
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -209,7 +209,11 @@
 		endingNodes:      make(map[string]struct{}),
 		runLatencies:     make(map[message.Route]*latency.Estimator),
 	}
-	n.runner = runner.New[*execution](runner.WithPacer(n.intake))
+	options := []runner.Option{runner.WithPacer(n.intake)}
+	if env.Pool {
+		options = append(options, runner.WithDeadlines())
+	}
+	n.runner = runner.New[*execution](options...)
 	if env.Pool {
 		n.sharing = newSharing(env)
 	}
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -61,6 +61,7 @@
 		o := req.offer
 		o.ID, o.Wait, o.Sent, o.Notice = id, p.wait, now.Sub(n.started), p.notice
 		o.Repeat, o.Credit = req.resends.next, p.credit
+		o.Objective = n.offeredObjective(now, req)
 		if p.link == nil {
 			req.body.Retain()
 			n.acceptOffer(now, nil, &o, req.body)
--- a/internal/sidecar/placement.go
+++ b/internal/sidecar/placement.go
@@ -152,14 +152,13 @@
 	}, rand.Float64(), usable, budgetAllows)
 }
 
-// untilObjective returns the time left until the latency objective of a request, 0 if it
-// has none. It is negative when the objective has passed.
+// untilObjective returns the time left until the latency objective of the client's
+// request, 0 if it has none. It is negative when the objective has passed.
 func untilObjective(now time.Time, req *request) time.Duration {
-	objective := req.route.Objective()
-	if objective == 0 {
+	if req.objective.IsZero() {
 		return 0
 	}
-	if left := req.arrival.Add(objective).Sub(now); left != 0 {
+	if left := req.objective.Sub(now); left != 0 {
 		return left
 	}
 	return -1
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -56,6 +56,7 @@
 	delayUnknown    bool                // it ended before its queue delay was known
 	configVersion   uint64              // configuration version that routed the request
 	rank            float64             // importance, from 0 to 1
+	objective       time.Time           // latency objective of the client's request, zero if there is none
 	resends         resends
 	results         chan *offerResult
 	lastRun         run // of the latest offer that ended without the answer of a server
@@ -109,6 +110,9 @@
 		rank = rank.WithCustomer(customer.DefaultLevel)
 	}
 	req.rank = rank.Rank(from.hasKeys)
+	if objective := route.Objective(); objective > 0 {
+		req.objective = req.arrival.Add(objective)
+	}
 	req.offer = frame.Offer{
 		Request:    id,
 		Priority:   rank,
