Take the time-out for the objective where it is shorter; spread the parts

Gifts have an objective of 4 s and a time-out of 1.5 s. Change: routing.Route.Useful is the objective or, if it is shorter, the time-out; with the contract pool the window and the order of the queue go by it. pkg/rendezvous ranks candidates so that parts prefer different domains and different nodes of a domain.

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -248,7 +248,11 @@
 		if len(n.windows) >= maxTrackedRoutes {
 			clear(n.windows)
 		}
-		w = window.New(route.Objective())
+		objective := route.Objective()
+		if n.env.Pool {
+			objective = route.Useful()
+		}
+		w = window.New(objective)
 		n.windows[key] = w
 	}
 	return w
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -1,13 +1,10 @@
 package sidecar
 
 import (
-	"cmp"
 	"math"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayapath/papayapath/internal/event"
@@ -19,6 +16,7 @@
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/quota"
+	"github.com/papayapath/papayapath/pkg/rendezvous"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/term"
 )
@@ -130,8 +128,7 @@
 	peer.Broadcast(l.n.mesh.Links(), frame.KindTerm, frame.TermNotice{Part: part, Record: r, End: end})
 }
 
-// Rank implements ratelimit.Network. Each part prefers one failure domain, so that the
-// loss of one takes as few parts as possible.
+// Rank implements ratelimit.Network.
 func (l limiterNetwork) Rank(part int) int {
 	links := l.n.mesh.Links()
 	l.n.mu.Lock()
@@ -139,45 +136,14 @@
 	if l.n.stopping {
 		return -1
 	}
-	type candidate struct {
-		domain string
-		hash   uint64
-	}
-	suffix := "/" + strconv.Itoa(part)
-	own := candidate{domain: l.n.self.Domain, hash: xxhash.Sum64String(l.n.self.Node + suffix)}
-	others := make([]candidate, 0, len(links))
-	domains := []string{own.domain}
+	candidates := []rendezvous.Candidate{{Node: l.n.self.Node, Domain: l.n.self.Domain}}
 	for _, link := range links {
 		e, ok := l.n.registry.Get(link.Address())
 		if ok && e.Node != l.n.self.Node && !e.Ending && !e.Stopping {
-			others = append(others, candidate{domain: e.Domain, hash: xxhash.Sum64String(e.Node + suffix)})
-			domains = append(domains, e.Domain)
+			candidates = append(candidates, rendezvous.Candidate{Node: e.Node, Domain: e.Domain})
 		}
 	}
-	slices.Sort(domains)
-	domains = slices.Compact(domains)
-	preferred := domains[part%len(domains)]
-	less := func(a, b candidate) int {
-		return cmp.Or(-compareBool(a.domain == preferred, b.domain == preferred), cmp.Compare(a.hash, b.hash))
-	}
-	rank := 0
-	for _, c := range others {
-		if less(c, own) < 0 {
-			rank++
-		}
-	}
-	return rank
-}
-
-// compareBool orders false before true.
-func compareBool(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return 1
-	}
-	return -1
+	return rendezvous.Rank(candidates, l.n.self.Node, part)
 }
 
 // Incarnation implements ratelimit.Network.
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -111,8 +111,8 @@
 		rank = rank.WithCustomer(customer.DefaultLevel)
 	}
 	req.rank = rank.Rank(from.hasKeys)
-	if objective := route.Objective(); objective > 0 {
-		req.objective = req.arrival.Add(objective)
+	if useful := route.Useful(); useful > 0 {
+		req.objective = req.arrival.Add(useful)
 	}
 	req.offer = frame.Offer{
 		Request:    id,
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -102,6 +102,15 @@
 // Objective returns the latency objective, or 0 if there is none.
 func (r *Route) Objective() time.Duration { return r.objective }
 
+// Useful returns the time within which an answer is in time: the latency objective or, if
+// that is longer, the time-out. It is 0 if there is neither.
+func (r *Route) Useful() time.Duration {
+	if r.timeout > 0 && (r.objective == 0 || r.timeout < r.objective) {
+		return r.timeout
+	}
+	return r.objective
+}
+
 // MaxAttempts returns the maximum number of servers that a request is sent to.
 func (r *Route) MaxAttempts() int { return r.maxAttempts }
 
--- a/pkg/routing/table_test.go
+++ b/pkg/routing/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -39,6 +40,21 @@
 	require.Empty(t, routing.NewRoute("empty", "/").ChooseService())
 }
 
+// Guards against a request with an objective beyond its time-out that counts as in time
+// after it has been cut.
+func TestUseful(t *testing.T) {
+	for _, c := range []struct{ objective, timeout, useful time.Duration }{
+		{4 * time.Second, 1500 * time.Millisecond, 1500 * time.Millisecond},
+		{time.Second, 5 * time.Second, time.Second},
+		{0, time.Second, time.Second},
+		{time.Second, 0, time.Second},
+		{0, 0, 0},
+	} {
+		r := routing.NewRoute("r", "/", routing.WithObjective(c.objective), routing.WithTimeout(c.timeout))
+		require.Equal(t, c.useful, r.Useful())
+	}
+}
+
 // Guards against nodes that all send their first request to the same service.
 func TestFirstChoicesDiffer(t *testing.T) {
 	r := random()
