Remember that requests of a kind have no prospect until a probe ends well

Change: a mean that does not fade; while it is low, one request in 2 s is begun at a node, and its end counts for half.

--- a/pkg/prospect/tracker.go
+++ b/pkg/prospect/tracker.go
@@ -1,23 +1,21 @@
 package prospect
 
-import (
-	"time"
-
-	"github.com/papayapath/papayapath/pkg/ratio"
-)
+import "time"
 
 const (
 	// minChance is the chance of a good end from which a request is begun. With a smaller
 	// one, most of the work that it causes is done for nothing.
 	minChance = 0.5
-	// memory is the time in which the weight of a request falls to 1/e. A request that
-	// fails for lack of capacity takes about as long.
-	memory = 1500 * time.Millisecond
-	// minRequests is the weight of requests from which their chance counts.
-	minRequests = 3
+	// endWeight is the weight of an end in the chance, and probeWeight that of one while
+	// requests are only begun to find out whether capacity is back: there are few of them.
+	endWeight   = 1.0 / 8
+	probeWeight = 1.0 / 2
 	// probeInterval is the time between two requests that are begun against the odds.
 	// Without them nothing would tell that capacity is back.
-	probeInterval = time.Second
+	probeInterval = 2 * time.Second
+	// expiry is the time after which ends tell nothing of the next request. It is longer
+	// than a probe takes to end, many times over.
+	expiry = 30 * time.Second
 	// maxKinds bounds the number of kinds.
 	maxKinds = 1024
 )
@@ -35,8 +33,9 @@
 }
 
 type kind struct {
-	ends  *ratio.Ratio
-	probe time.Time // when the last request was begun against the odds
+	chance   float64   // weighted mean of recent ends, 1 for a good one
+	ended    time.Time // time of the last end
+	probedAt time.Time // when the last request was begun against the odds
 }
 
 // New returns a tracker that has seen no request.
@@ -50,20 +49,31 @@
 		if len(t.kinds) >= maxKinds {
 			clear(t.kinds)
 		}
-		s = &kind{ends: ratio.New(memory)}
+		s = &kind{chance: 1}
 		t.kinds[k] = s
 	}
-	s.ends.Add(now, well)
+	if now.Sub(s.ended) > expiry {
+		s.chance = 1
+	}
+	s.ended = now
+	weight, end := endWeight, 0.0
+	if s.chance < minChance {
+		weight = probeWeight
+	}
+	if well {
+		end = 1
+	}
+	s.chance += weight * (end - s.chance)
 }
 
 // Allows reports whether a request of a kind may be begun.
 func (t *Tracker[K]) Allows(now time.Time, k K) bool {
 	s := t.kinds[k]
 	switch {
-	case s == nil || s.ends.Events(now) < minRequests || s.ends.Fraction(now) >= minChance:
+	case s == nil || s.chance >= minChance || now.Sub(s.ended) > expiry:
 		return true
-	case now.Sub(s.probe) >= probeInterval:
-		s.probe = now
+	case now.Sub(s.probedAt) >= probeInterval:
+		s.probedAt = now
 		return true
 	}
 	return false
