Log what the retry budget of a server is used for

Event 682, once a second at a node whose share of the budget is used, and the counters retry_requests_credited, retry_resends, retry_reruns and retry_calls. No decision changes. TestSharedServerSheds and internal/event pass.

--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -74,5 +74,6 @@
 	AllocatorChanged      = register(671, logrus.InfoLevel, "allocator of a part of the limits changed")
 	ServiceSheds          = register(680, logrus.WarnLevel, "service sheds requests")
 	ServiceRecovered      = register(681, logrus.InfoLevel, "service sheds no more requests")
+	RetryBudgetInUse      = register(682, logrus.InfoLevel, "retry budget in use")
 	ServerSpeedChanged    = register(690, logrus.InfoLevel, "server speed changed")
 )
--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -446,6 +446,7 @@
 		case now := <-ticker.C:
 			n.pool.CloseExpired(now)
 			n.logServerLimit(now)
+			n.logRetryBudget(now)
 			links := n.mesh.Links()
 			if len(links) == 0 {
 				continue
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -49,6 +49,10 @@
 	budgetRefused  metrics.Counter     // requests refused because no retry budget covers their calls
 	resendsRefused metrics.Counter     // offers refused because the retry budget is used up
 	resends        metrics.Counter     // requests sent again after servers shed them
+	credited       metrics.Counter     // requests that count for the retry budget of the local backend server
+	resendsTaken   metrics.Counter     // repeats charged to it after a server shed the request
+	rerunsTaken    metrics.Counter     // other repeats charged to it
+	repeatCalls    metrics.Counter     // calls of runs that were repeats
 	sends          metrics.Counter     // requests sent to the local backend server
 	lateSends      metrics.Counter     // those among them that waited until they could not meet their objective
 	latency        histogram.Histogram // of complete responses
@@ -87,6 +91,10 @@
 		budgetRefused:  counter("requests_refused_budget"),
 		resendsRefused: counter("offers_refused_budget"),
 		resends:        counter("requests_resent"),
+		credited:       counter("retry_requests_credited"),
+		resendsTaken:   counter("retry_resends"),
+		rerunsTaken:    counter("retry_reruns"),
+		repeatCalls:    counter("retry_calls"),
 	}
 }
 
--- a/internal/sidecar/sharing.go
+++ b/internal/sidecar/sharing.go
@@ -36,6 +36,7 @@
 	retries *allowance.Allowance
 	gate    *demand.Gate
 	alerted map[string]struct{} // services that this node has logged as shedding
+	used    int64               // repeats and refusals when the use was logged last
 }
 
 func newSharing(env *environment.Environment) *sharing {
@@ -90,7 +91,11 @@
 // markRerun marks a call of a run that repeats one which may have run. The node that
 // repeated the run has charged it.
 func (n *Node) markRerun(req *request) {
-	if n.sharing != nil && req.parent.offer.Repeat == frame.Rerun {
+	if n.sharing == nil || req.parent.offer.Repeat == frame.First {
+		return
+	}
+	n.stats.repeatCalls.Inc(1)
+	if req.parent.offer.Repeat == frame.Rerun {
 		req.resends.next = frame.Rerun
 	}
 }
@@ -171,18 +176,48 @@
 	if n.sharing == nil {
 		return true
 	}
-	n.sharing.retries.Requests(now, float64(max(0, min(maxCredit, o.Credit))))
+	credit := max(0, min(maxCredit, o.Credit))
+	n.stats.credited.Inc(int64(credit))
+	n.sharing.retries.Requests(now, float64(credit))
 	n.refreshRoster()
 	if o.Repeat == frame.Resent && !n.sharing.retries.Allows(now, n.roster.Servers(n.env.Service), o.Priority.Level(), 1) {
 		n.stats.resendsRefused.Inc(1)
 		return false
 	}
-	if o.Repeat != frame.First {
-		n.sharing.retries.Spend(now, 1)
+	switch o.Repeat {
+	case frame.First:
+		return true
+	case frame.Resent:
+		n.stats.resendsTaken.Inc(1)
+	default:
+		n.stats.rerunsTaken.Inc(1)
 	}
+	n.sharing.retries.Spend(now, 1)
 	return true
 }
 
+// logRetryBudget logs the use of the retry budget of the local backend server, if it has
+// been used since the last call.
+func (n *Node) logRetryBudget(now time.Time) {
+	if n.sharing == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.stats
+	used := s.resendsTaken.Count() + s.rerunsTaken.Count() + s.resendsRefused.Count() + s.repeatCalls.Count()
+	if used == n.sharing.used {
+		return
+	}
+	n.sharing.used = used
+	n.journal.WriteSampled(now, event.RetryBudgetInUse, func() logrus.Fields {
+		return logrus.Fields{
+			"service": n.env.Service, "credited": s.credited.Count(), "resent": s.resendsTaken.Count(), "rerun": s.rerunsTaken.Count(),
+			"refused": s.resendsRefused.Count(), "calls": s.repeatCalls.Count(), "servers": n.roster.Servers(n.env.Service),
+		}
+	})
+}
+
 // recordShedding records whether the local backend server has shed a request.
 func (n *Node) recordShedding(a *upstream.Answer) {
 	if n.sharing != nil && (a.Sent || a.Err == nil) {
