Bound repeats in each window they fall into, by shares that add up

Cause: a node granted a repeat if the largest of three windows that end at that moment paid for it. A repeat falls into every window that begins up to 10 s before it, and when servers shed, requests fall afterwards. The largest windows of several nodes do not add up either: where requests move between servers, old and new ones spend for the same requests. Restarts, steps of the time of day and views that differ gave parts of the slack twice.

Change: pkg/retryshare. A repeat is granted only if the requests of the window before pay for it, for each window that it falls into. That window is the same for all nodes, so the shares add up to at most the budget, whichever servers the requests go to and whatever a restarted node has forgotten; nothing rests on a margin. Credit and repeats count with the delay that they may have: credit is given within 125 ms and lost after that, a repeat that waits longer than a bucket is charged anew when it is sent, and one that is not sent is returned. The slack is for nodes that have run for two windows, or from the first start of the system. The time is that since boot. The entry nodes promise 0.08 of the budget at once in place of 0.2, since the nodes beside servers can grant less before they have seen two windows.

--- a/internal/lab/overload/pool.go
+++ b/internal/lab/overload/pool.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/papayapath/papayapath/internal/lab/optimum"
-	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/demand"
+	"github.com/papayapath/papayapath/pkg/retryshare"
 	"github.com/papayapath/papayapath/pkg/shedding"
 )
 
@@ -17,11 +17,10 @@
 type pool struct {
 	node  *node
 	meter shedding.Meter
-	// retries is the part of the retry budget of the own service that the node spends
-	// on repeated calls to its server.
-	retries *allowance.Allowance
-	servers int // of the own service
-	gate    *demand.Gate
+	// share is the part of the retry budget of the own service that the node spends on
+	// repeated calls to its server.
+	share *retryshare.Share
+	gate  *demand.Gate
 }
 
 // attempts counts the offers of a call.
@@ -45,12 +44,14 @@
 	for _, s := range n.simulation.scenario.Services {
 		nodes += s.Servers
 	}
-	return &pool{
-		node:    n,
-		retries: allowance.New(retryBudgetRatio, retryBudgetSlack, retryBudgetWindow, allowance.WithEarlierRequests(), allowance.WithExactCount()),
-		servers: v.Servers,
-		gate:    demand.New(retryBudgetRatio, retryBudgetSlack/float64(nodes), retryBudgetWindow),
+	now := n.simulation.Now()
+	p := &pool{
+		node:  n,
+		share: retryshare.New(now, retryBudgetRatio, retryBudgetSlack, retryBudgetWindow, retryshare.WithoutPredecessor()),
+		gate:  demand.New(retryBudgetRatio, retryBudgetSlack/float64(nodes), retryBudgetWindow),
 	}
+	p.share.SetServers(now, v.Servers)
+	return p
 }
 
 // rates returns what the answer to a run tells of services that shed.
@@ -72,14 +73,14 @@
 
 // accept reports whether the retry budget covers an offer, and counts the offer.
 func (p *pool) accept(now time.Time, c *call) bool {
-	p.retries.Requests(now, float64(c.credit))
+	p.share.Add(now, float64(c.credit))
 	if !c.isResent {
 		return true
 	}
-	if !p.retries.Allows(now, p.servers, c.priority.Level(), 1) {
+	if !p.share.Covers(now, retryshare.ResendPart(c.priority.Level()), 1) {
 		return false
 	}
-	p.retries.Spend(now, 1)
+	p.share.Spend(now, 1)
 	return true
 }
 
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -32,6 +32,8 @@
 	arrivedAt  time.Time
 	startedAt  time.Time
 	canceled   bool
+	unfunded   bool          // the retry budget did not cover it any more when it could start
+	repeatAt   time.Time     // when it was charged to the retry budget; zero if it was not
 	withdrawn  chan struct{} // closed when the offer is withdrawn; nil without nested calls
 	queueDelay time.Duration // queue delay of its nested calls
 	overloaded bool          // a nested call was refused for lack of capacity
@@ -64,6 +66,7 @@
 	isFirst := from != nil && n.transits[from] == nil
 	delay := n.transitDelay(now, from, o.Sent)
 	ex.offer.Wait -= delay
+	ex.offer.Credit = n.creditedOnArrival(o, delay)
 	ex.ticket = runner.Request[*execution]{
 		Value: ex, Priority: o.Priority, Expires: now.Add(ex.offer.Wait),
 	}
@@ -103,7 +106,7 @@
 	if reason := n.unavailability(now, ex); reason != outcome.None {
 		return []reply{n.refuseOffer(now, ex, reason)}, false
 	}
-	if !n.takeResend(now, &ex.offer) {
+	if !n.takeRepeat(now, ex) {
 		return []reply{n.refuseOffer(now, ex, outcome.Budget)}, false
 	}
 	ex.ticket.Expires = n.boundBeforeExit(ex.ticket.Expires)
@@ -162,6 +165,7 @@
 	ex.server, ex.startedAt = n.readiness.Last().Incarnation, now
 	// It may have been queued before the signal to stop.
 	ex.ticket.Expires = n.boundBeforeExit(ex.ticket.Expires)
+	ex.unfunded = !n.takeDelayedRepeat(now, ex)
 	n.stats.sends.Inc(1)
 	n.countLateSend(now, ex)
 	n.placement.start(now, ex)
@@ -170,25 +174,33 @@
 	n.withdrawals.Remove(ex.offer.Request)
 }
 
-// errWithdrawn means that an offer was withdrawn before its request was sent.
-var errWithdrawn = errors.New("sidecar: offer withdrawn")
+// errWithdrawn means that an offer was withdrawn before its request was sent, errUnfunded
+// that the retry budget did not cover it any more.
+var (
+	errWithdrawn = errors.New("sidecar: offer withdrawn")
+	errUnfunded  = errors.New("sidecar: retry budget used up")
+)
 
 // startExecution sends a request to the local backend server.
 func (n *Node) startExecution(now time.Time, ex *execution) {
 	remaining := ex.ticket.Expires.Sub(now)
 	timeout := remaining
 	n.mu.Lock()
-	isWithdrawn := ex.canceled
+	isWithdrawn, isUnfunded := ex.canceled, ex.unfunded
 	if ex.key.link != nil || n.stopping && !ex.ticket.Expires.Before(n.runsEnd()) {
 		// The deadline may be that of a stopping node, not the client's: a late answer is
 		// still wanted.
 		timeout += lastRunsTime
 	}
 	n.mu.Unlock()
-	if isWithdrawn {
-		// Nested endings could use up the stack.
+	// Nested endings could use up the stack.
+	switch {
+	case isWithdrawn:
 		go n.endExecution(ex, &upstream.Answer{NotRun: true, Err: errWithdrawn})
 		return
+	case isUnfunded:
+		go n.endExecution(ex, &upstream.Answer{NotRun: true, Err: errUnfunded})
+		return
 	}
 	body := ex.body
 	isCopied := body.Len() <= maxCopiedBody
@@ -232,6 +244,9 @@
 	}
 	n.recordNotice(now, ex, a)
 	n.recordShedding(a)
+	if a.NotRun && !a.Sent {
+		n.returnRepeat(now, ex)
+	}
 	completed := reply{execution: ex, answer: n.answer(now, ex, a)}
 	if completed.answer.Outcome == outcome.Complete {
 		completed.body = a.Body
@@ -268,6 +283,8 @@
 	switch {
 	case a.NotRun && a.Sent:
 		out.Outcome, out.Reason = outcome.NotRun, outcome.Overload
+	case errors.Is(a.Err, errUnfunded):
+		out.Outcome, out.Reason = outcome.NotRun, outcome.Budget
 	case a.NotRun:
 		out.Outcome, out.Reason = outcome.NotRun, outcome.Unavailable
 	case a.Err != nil:
@@ -334,6 +351,7 @@
 func (n *Node) refuseOffer(now time.Time, ex *execution, reason outcome.Reason) reply {
 	n.stats.offersRefused.Inc(1)
 	n.unsentAnswers.Add(1)
+	n.returnRepeat(now, ex)
 	a := frame.Answer{ID: ex.key.id, Outcome: outcome.NotRun, Reason: reason}
 	n.setServerState(now, ex, &a)
 	n.journal.WriteSampled(now, event.OfferRefused, func() logrus.Fields {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -217,15 +217,15 @@
 		options = append(options, runner.WithDeadlines())
 	}
 	n.runner = runner.New[*execution](options...)
-	if env.Pool {
-		n.sharing = newSharing(env)
-	}
 	n.log.Store(&log)
 	n.mesh = peer.NewMesh(n, peer.WithBudget(b))
 	n.clients = ingress.New(n, ingress.WithBudget(b))
 	n.pool = upstream.New(env.BackendAddr.String(), headerCodec, maxResponseBody, upstream.WithBudget(b))
 	now := time.Now()
 	n.started = now
+	if env.Pool {
+		n.sharing = newSharing(now, env)
+	}
 	n.self = registry.Entry{
 		Node:        env.PeerAddr.String(),
 		Incarnation: now.UnixMilli(),
--- a/internal/sidecar/sharing.go
+++ b/internal/sidecar/sharing.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"github.com/valyala/fasthttp"
 
+	"github.com/papayapath/papayapath/internal/boottime"
 	"github.com/papayapath/papayapath/internal/environment"
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/upstream"
@@ -14,6 +15,7 @@
 	"github.com/papayapath/papayapath/pkg/demand"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/retryshare"
 	"github.com/papayapath/papayapath/pkg/shedding"
 )
 
@@ -31,20 +33,41 @@
 // settings call for it. It is guarded by Node.mu.
 type sharing struct {
 	meter shedding.Meter // of the local backend server
-	// retries is the part of the retry budget of the own service that belongs to the local
-	// backend server. It is spent when a request arrives again that a server has shed.
-	retries *allowance.Allowance
+	// share is the part of the retry budget of the own service that belongs to the local
+	// backend server. It bounds the repeats that are sent to that server.
+	share   *retryshare.Share
+	clock   elapsedClock
 	gate    *demand.Gate
 	alerted map[string]struct{} // services that this node has logged as shedding
 	used    int64               // repeats and refusals when the use was logged last
 }
 
-func newSharing(env *environment.Environment) *sharing {
-	return &sharing{
-		retries: allowance.New(env.RetryBudgetRatio, env.RetryBudgetSlack, env.RetryBudgetWindow, allowance.WithEarlierRequests(), allowance.WithExactCount()),
+func newSharing(now time.Time, env *environment.Environment) *sharing {
+	s := &sharing{
 		gate:    demand.New(env.RetryBudgetRatio, env.RetryBudgetSlack, env.RetryBudgetWindow),
 		alerted: make(map[string]struct{}),
 	}
+	var options []retryshare.Option
+	if env.FirstStart {
+		options = append(options, retryshare.WithoutPredecessor())
+	}
+	s.share = retryshare.New(s.clock.at(now), env.RetryBudgetRatio, env.RetryBudgetSlack, env.RetryBudgetWindow, options...)
+	return s
+}
+
+// clockInterval is the interval at which an elapsedClock reads the system's clock.
+const clockInterval = 100 * time.Millisecond
+
+// elapsedClock tells the elapsed time, that for which the machine is suspended included. It
+// follows the steady clock, which costs no system call, for a short time after each reading.
+type elapsedClock struct{ steady, elapsed time.Time }
+
+// at returns the elapsed time at a time of the steady clock.
+func (c *elapsedClock) at(now time.Time) time.Time {
+	if d := now.Sub(c.steady); d < 0 || d > clockInterval {
+		c.steady, c.elapsed = now, boottime.Now()
+	}
+	return c.elapsed.Add(now.Sub(c.steady))
 }
 
 // setNodes sets the number of nodes that share the slack of the retry budgets.
@@ -76,7 +99,7 @@
 func (n *Node) countRequest(now time.Time, service string) {
 	n.allowance(service).Request(now)
 	if n.sharing != nil {
-		n.sharing.gate.Count(service)
+		n.sharing.gate.Count(now, service)
 	}
 }
 
@@ -170,32 +193,74 @@
 	return true
 }
 
-// takeResend reports whether the retry budget covers an offer of the own service, and
+// takeRepeat reports whether the retry budget covers an offer of the own service, and
 // records what the offer tells of it.
-func (n *Node) takeResend(now time.Time, o *frame.Offer) bool {
+func (n *Node) takeRepeat(now time.Time, ex *execution) bool {
 	if n.sharing == nil {
 		return true
 	}
+	o, s, elapsed := &ex.offer, n.sharing, n.sharing.clock.at(now)
 	credit := max(0, min(maxCredit, o.Credit))
 	n.stats.credited.Inc(int64(credit))
-	n.sharing.retries.Requests(now, float64(credit))
+	s.share.Add(elapsed, float64(credit))
+	if o.Repeat == frame.First {
+		return true
+	}
 	n.refreshRoster()
-	if o.Repeat == frame.Resent && !n.sharing.retries.Allows(now, n.roster.Servers(n.env.Service), o.Priority.Level(), 1) {
+	s.share.SetServers(elapsed, n.roster.Servers(n.env.Service))
+	if o.Repeat == frame.Resent && !s.share.Covers(elapsed, retryshare.ResendPart(o.Priority.Level()), 1) {
 		n.stats.resendsRefused.Inc(1)
 		return false
 	}
-	switch o.Repeat {
-	case frame.First:
-		return true
-	case frame.Resent:
+	if o.Repeat == frame.Resent {
 		n.stats.resendsTaken.Inc(1)
-	default:
+	} else {
 		n.stats.rerunsTaken.Inc(1)
 	}
-	n.sharing.retries.Spend(now, 1)
+	s.share.Spend(elapsed, 1)
+	ex.repeatAt = elapsed
 	return true
 }
 
+// returnRepeat returns a repeat that has been charged and is not sent to the server.
+func (n *Node) returnRepeat(now time.Time, ex *execution) {
+	if ex.repeatAt.IsZero() {
+		return
+	}
+	n.sharing.share.Return(n.sharing.clock.at(now), ex.repeatAt, 1)
+	ex.repeatAt = time.Time{}
+}
+
+// takeDelayedRepeat charges a repeat anew that was queued for long: it counts in the
+// windows in which it is sent. It reports whether the retry budget covers it.
+func (n *Node) takeDelayedRepeat(now time.Time, ex *execution) bool {
+	if ex.repeatAt.IsZero() {
+		return true
+	}
+	s, elapsed := n.sharing.share, n.sharing.clock.at(now)
+	if elapsed.Sub(ex.repeatAt) <= s.MaxDelay() {
+		return true
+	}
+	s.Return(elapsed, ex.repeatAt, 1)
+	if ex.offer.Repeat == frame.Resent && !s.Covers(elapsed, retryshare.Whole, 1) {
+		n.stats.resendsRefused.Inc(1)
+		ex.repeatAt = time.Time{}
+		return false
+	}
+	s.Spend(elapsed, 1)
+	ex.repeatAt = elapsed
+	return true
+}
+
+// creditedOnArrival returns the requests that an offer brings to the retry budget. Those of
+// a delayed offer may count in another window than the observer's.
+func (n *Node) creditedOnArrival(o *frame.Offer, delay time.Duration) int {
+	if n.sharing != nil && delay > n.sharing.share.MaxDelay()-n.sharing.gate.CreditTime() {
+		return 0
+	}
+	return o.Credit
+}
+
 // logRetryBudget logs the use of the retry budget of the local backend server, if it has
 // been used since the last call.
 func (n *Node) logRetryBudget(now time.Time) {
--- a/internal/sidecar/withdrawal.go
+++ b/internal/sidecar/withdrawal.go
@@ -87,6 +87,9 @@
 		close(ex.withdrawn)
 	}
 	isQueued := ex.startedAt.IsZero()
+	if isQueued {
+		n.returnRepeat(now, ex)
+	}
 	n.runner.Cancel(&ex.ticket)
 	n.recordWithdrawal(now, ex, late)
 	e := ex.exchange
--- a/pkg/allowance/allowance.go
+++ b/pkg/allowance/allowance.go
@@ -14,13 +14,9 @@
 	// spend. The windows of the nodes and of an observer are not aligned, and
 	// retries in flight at the end of a window count in the next one.
 	usableFraction = 0.75
-	// exactFraction replaces usableFraction where retries are counted on arrival, in one
-	// bucket more than the window has, so that no window of an observer holds more. The
-	// rest covers what a node that is restarted has forgotten.
-	exactFraction = 0.95
 	// reservedFraction is the part of the budget that retries of the least important
-	// requests leave for others, exactReserved that where retries are counted on arrival.
-	reservedFraction, exactReserved = 0.75, 0.15
+	// requests leave for others.
+	reservedFraction = 0.75
 )
 
 // Allowance is the share that one node has in the retry budget of one service
@@ -28,13 +24,10 @@
 type Allowance struct {
 	ratio    float64
 	slack    float64
-	usable   float64
-	reserved float64               // part of the budget that the least important retries leave for others
 	earlier  *requestcount.Counter // counts the requests in place of requests, if not nil
 	bucket   time.Duration
 	requests [buckets]float64
-	retries  [buckets + 1]float64
-	counted  int64 // number of buckets whose retries count
+	retries  [buckets]float64
 	newest   int64 // index of the newest bucket since the Unix epoch
 }
 
@@ -48,18 +41,10 @@
 	return func(a *Allowance) { a.earlier = requestcount.New(a.bucket * buckets) }
 }
 
-// WithExactCount spends more of the budget. It is for a node that counts the retries of
-// all other nodes at the moment of their arrival at a server.
-func WithExactCount() Option {
-	return func(a *Allowance) {
-		a.usable, a.reserved, a.counted = exactFraction, exactReserved, buckets+1
-	}
-}
-
 // New returns an unused allowance. Within each window, the retries of all nodes
 // are limited to ratio times their requests, plus slack. A window is 1 us at least.
 func New(ratio, slack float64, window time.Duration, options ...Option) *Allowance {
-	a := &Allowance{ratio: ratio, slack: slack, usable: usableFraction, reserved: reservedFraction, counted: buckets, bucket: max(window, time.Microsecond) / buckets}
+	a := &Allowance{ratio: ratio, slack: slack, bucket: max(window, time.Microsecond) / buckets}
 	for _, o := range options {
 		o(a)
 	}
@@ -71,10 +56,10 @@
 func (a *Allowance) advance(now time.Time) int64 {
 	n := now.UnixNano() / int64(a.bucket)
 	if n-a.newest > buckets || n < a.newest {
-		a.requests, a.retries = [buckets]float64{}, [buckets + 1]float64{}
+		a.requests, a.retries = [buckets]float64{}, [buckets]float64{}
 	} else {
 		for i := a.newest + 1; i <= n; i++ {
-			a.requests[i%buckets], a.retries[i%(buckets+1)] = 0, 0
+			a.requests[i%buckets], a.retries[i%buckets] = 0, 0
 		}
 	}
 	a.newest = n
@@ -101,20 +86,18 @@
 	a.advance(now)
 	level = min(level, importance.Critical)
 	requests, spent := 0.0, 0.0
-	for _, r := range a.requests {
+	for i, r := range a.requests {
 		requests += r
-	}
-	for i := range a.counted {
-		spent += a.retries[(a.newest-i+buckets+1)%(buckets+1)]
+		spent += a.retries[i]
 	}
 	if a.earlier != nil {
 		requests = a.earlier.Count(now)
 	}
-	budget := a.usable * (a.ratio*requests + a.slack/float64(max(1, nodes)))
-	return spent+retries <= budget*(1-a.reserved*float64(importance.Critical-level)/float64(importance.Critical))
+	budget := usableFraction * (a.ratio*requests + a.slack/float64(max(1, nodes)))
+	return spent+retries <= budget*(1-reservedFraction*float64(importance.Critical-level)/float64(importance.Critical))
 }
 
 // Spend records retries, including any that exceed the allowance.
 func (a *Allowance) Spend(now time.Time, retries float64) {
-	a.retries[a.advance(now)%(buckets+1)] += retries
+	a.retries[a.advance(now)%buckets] += retries
 }
--- a/pkg/demand/bucket.go
+++ b/pkg/demand/bucket.go
@@ -7,11 +7,12 @@
 )
 
 const (
-	// usableFraction is the part of the retry budget that is promised.
-	usableFraction = 0.95
+	// usableFraction is the part of the retry budget that is promised. Some requests end
+	// before they use what they were promised; nodes beside servers keep the bound.
+	usableFraction = 1.05
 	// depth is the part of the budget that may be promised at once. With the rest, spread
-	// evenly over the window, a disturbance of 8 s uses up the budget of 10 s.
-	depth = 0.2
+	// evenly over the window, a disturbance of 8 s uses up most of the budget of 10 s.
+	depth = 0.08
 	// least and most are the fillings at which the least and the most important requests
 	// are refused, as parts of the depth. What a rank leaves is there for those above it.
 	// The most important ones may run into debt, which requests run up that were begun
--- a/pkg/demand/gate.go
+++ b/pkg/demand/gate.go
@@ -23,9 +23,10 @@
 	// reportTime is the time for which the rate of a server counts. A node that calls a
 	// service seldom does not hear of each server more often.
 	reportTime = 2 * time.Second
-	// creditTime is the time for which a request gives credit if no server has been told
-	// of it. After that it might count in another window than the observer's.
-	creditTime = time.Second
+	// creditIntervals is the number of intervals of a window. A request gives credit in the
+	// interval in which it is counted and the next one: after that it might count in another
+	// window than the observer's.
+	creditIntervals = 160
 	// refusalTime is the time for which a refused request holds back the retries of less
 	// important ones. Requests of a kind that is refused come more often than that.
 	refusalTime = time.Second
@@ -41,6 +42,7 @@
 	ratio, slack float64
 	window       time.Duration
 	services     map[string]*service
+	origin       time.Time // of the intervals of credit
 }
 
 // service is what a Gate knows about one service.
@@ -49,8 +51,8 @@
 	rate        float64   // part of the requests that its servers shed
 	heard       time.Time // time of the last answer that told the rate, or of the last probe
 	servers     []report  // rates of the servers that this node calls, nil if none sheds
-	uncredited  int       // requests and calls of this node that no server has been told
-	credited    time.Time // time of the last offer to a server
+	uncredited  [2]int    // requests and calls of this node that no server has been told, by interval
+	interval    int64     // index of the newest interval
 	charged     float64   // retries for each call that were charged for requests begun before
 	refused     time.Time // time of the last refusal
 	refusedRank float64   // rank of the most important request refused about then
@@ -111,8 +113,13 @@
 func (g *Gate) BeginOwn(now time.Time, name string) { g.service(name).bucket.calls.Add(now, 1) }
 
 // Count records a request or call of a service that this node is about to send, and for
-// which a server will get credit.
-func (g *Gate) Count(name string) { g.service(name).uncredited++ }
+// which a server will get credit. The time has to have a monotonic reading, or steps of the
+// time of day take credit away.
+func (g *Gate) Count(now time.Time, name string) {
+	s := g.service(name)
+	g.expireCredit(now, s)
+	s.uncredited[s.interval%2]++
+}
 
 // Credit returns the number of requests and calls that a server is told with an offer. The
 // retry budget is spent at the servers, in proportion to them. A server that sheds while
@@ -122,14 +129,31 @@
 	if i := s.indexOf(server); i >= 0 && s.servers[i].rate > 0 && s.retries() == 0 {
 		return 0
 	}
-	n := s.uncredited
-	if now.Sub(s.credited) > creditTime {
-		n = min(n, 1)
-	}
-	s.uncredited, s.credited = 0, now
+	g.expireCredit(now, s)
+	n := s.uncredited[0] + s.uncredited[1]
+	s.uncredited = [2]int{}
 	return n
 }
 
+// CreditTime returns the longest time between the count of a request and its credit.
+func (g *Gate) CreditTime() time.Duration { return 2 * g.window / creditIntervals }
+
+// expireCredit removes the requests that give no credit any more.
+func (g *Gate) expireCredit(now time.Time, s *service) {
+	if g.origin.IsZero() {
+		g.origin = now
+	}
+	n := int64(now.Sub(g.origin) / max(1, g.window/creditIntervals))
+	switch n - s.interval {
+	case 0:
+	case 1:
+		s.uncredited[n%2] = 0
+	default:
+		s.uncredited = [2]int{}
+	}
+	s.interval = n
+}
+
 // AllowsRetry reports whether a request that this node has sent to a service may be sent
 // again, and charges the retry. The nodes beside the servers limit the number; this one
 // holds back what a more important request is refused for.
--- a/pkg/demand/gate_test.go
+++ b/pkg/demand/gate_test.go
@@ -96,8 +96,8 @@
 		now := l.now.Add(time.Duration(i) * time.Millisecond)
 		l.gate.LearnServer(now, moves, []string{"a", "b", "c"}[i%3], []float64{0.5, 0, 0}[i%3], 3)
 		require.Zero(t, l.gate.Rate(moves))
-		l.gate.Count(moves)
-		l.gate.Count(moves)
+		l.gate.Count(now, moves)
+		l.gate.Count(now, moves)
 		require.Zero(t, l.gate.Credit(now, moves, "a"))
 		if credit := l.gate.Credit(now, moves, "b"); i > 0 {
 			require.Equal(t, 2, credit)
