Refuse all repeats beyond the budget beside the server, calls of repeats included

Cause: two spenders of one budget, and repeats that nobody charged. The node beside a server refused only requests that a server had shed; re-runs after an unknown outcome were limited by their sender and added on top. A run that follows a shed attempt is a repeat, so its calls are too, at each depth; they were sent as first calls and even gave credit.

At proofs runs that are repeats make 300 to 1,200 calls a second, while calendars count 20 to 100 repeats.

Change: the node beside the server decides on each repeat, whoever sent it. The calls of any run that is a repeat are marked as repeats and give no credit. A request that was shed is sent to a server only if the first calls of that server pay for the calls of one more run (takeCalls); otherwise the nodes below would refuse single calls of many runs after most of their work. What a shed attempt was charged for its calls is returned.

--- a/internal/lab/overload/node.go
+++ b/internal/lab/overload/node.go
@@ -175,7 +175,7 @@
 	if len(c.tried) == 0 && !c.isResent {
 		n.allowance(c.class.Service).Request(now)
 		if n.pool != nil {
-			n.pool.gate.Count(now, c.class.Service)
+			n.pool.count(now, c)
 		}
 	}
 	name := n.choose(now, c)
--- a/internal/lab/overload/pool.go
+++ b/internal/lab/overload/pool.go
@@ -18,9 +18,11 @@
 	node  *node
 	meter shedding.Meter
 	// share is the part of the retry budget of the own service that the node spends on
-	// repeated calls to its server.
-	share *retryshare.Share
-	gate  *demand.Gate
+	// repeated calls to its server, and callShares are the parts of the budgets of other
+	// services that the calls of the server bring in.
+	share      *retryshare.Share
+	callShares map[string]*retryshare.Share
+	gate       *demand.Gate
 }
 
 // attempts counts the offers of a call.
@@ -29,6 +31,7 @@
 	resends    int  // after servers have shed it
 	credit     int  // requests and calls that the server is told with the offer
 	isRoot     bool // a request of a client
+	isOfRepeat bool // the run that makes the call is a repeat
 	isResent   bool // a server has shed the call before
 	isUnfunded bool // a node refused to send the call again for want of retry budget
 }
@@ -46,9 +49,10 @@
 	}
 	now := n.simulation.Now()
 	p := &pool{
-		node:  n,
-		share: retryshare.New(now, retryBudgetRatio, retryBudgetSlack, retryBudgetWindow, retryshare.WithoutPredecessor()),
-		gate:  demand.New(retryBudgetRatio, retryBudgetSlack/float64(nodes), retryBudgetWindow),
+		node:       n,
+		share:      retryshare.New(now, retryBudgetRatio, retryBudgetSlack, retryBudgetWindow, retryshare.WithoutPredecessor()),
+		callShares: make(map[string]*retryshare.Share),
+		gate:       demand.New(retryBudgetRatio, retryBudgetSlack/float64(nodes), retryBudgetWindow),
 	}
 	p.share.SetServers(now, v.Servers)
 	return p
@@ -71,19 +75,73 @@
 	return all
 }
 
+// count records a call that the node is about to send.
+func (p *pool) count(now time.Time, c *call) {
+	if c.isOfRepeat {
+		return
+	}
+	p.gate.Count(now, c.class.Service)
+	if !c.isRoot {
+		p.callShare(now, c.class.Service).Add(now, 1)
+	}
+}
+
 // accept reports whether the retry budget covers an offer, and counts the offer.
-func (p *pool) accept(now time.Time, c *call) bool {
+func (p *pool) accept(now time.Time, r *run) bool {
+	c := r.call
 	p.share.Add(now, float64(c.credit))
-	if !c.isResent {
+	switch {
+	case c.isResent:
+		if !p.share.Covers(now, retryshare.ResendPart(c.priority.Level()), 1) || !p.takeCalls(now, r) {
+			return false
+		}
+	case c.isOfRepeat:
+		if !p.share.Covers(now, retryshare.Whole, 1) {
+			return false
+		}
+	default:
 		return true
 	}
-	if !p.share.Covers(now, retryshare.ResendPart(c.priority.Level()), 1) {
-		return false
-	}
 	p.share.Spend(now, 1)
 	return true
 }
 
+// takeCalls reports whether the requests of the called services cover the calls of a
+// repeated run, and charges them.
+func (p *pool) takeCalls(now time.Time, r *run) bool {
+	calls := make(map[string]float64)
+	for _, child := range r.call.class.calls {
+		calls[child.Service]++
+	}
+	for service, n := range calls {
+		if !p.callShare(now, service).Covers(now, retryshare.Whole, n) {
+			return false
+		}
+	}
+	for service, n := range calls {
+		p.callShare(now, service).Spend(now, n)
+	}
+	r.charged, r.chargedAt = calls, now
+	return true
+}
+
+// returnCalls returns the calls that a run was charged, which the server has shed.
+func (p *pool) returnCalls(now time.Time, r *run) {
+	for service, n := range r.charged {
+		p.callShare(now, service).Return(now, r.chargedAt, n)
+	}
+	r.charged = nil
+}
+
+func (p *pool) callShare(now time.Time, service string) *retryshare.Share {
+	s := p.callShares[service]
+	if s == nil {
+		s = retryshare.New(now, retryBudgetRatio, 0, retryBudgetWindow)
+		p.callShares[service] = s
+	}
+	return s
+}
+
 // admits reports whether a new request is begun.
 func (p *pool) admits(now time.Time, c *class) bool {
 	for _, f := range c.fanout {
--- a/internal/lab/overload/server.go
+++ b/internal/lab/overload/server.go
@@ -44,20 +44,22 @@
 	call      *call
 	started   time.Time
 	ticket    runner.Request[*run]
-	isRepeat  bool // the call has reached a server before
+	isRepeat  bool // the call has reached a server before, or is one of a run that is a repeat
 	work      workload.Run
 	callTime  time.Duration
 	reply     func(answer)
 	nextIndex int // index of the next nested call
 	delay     time.Duration
 	refused   bool
+	charged   map[string]float64 // calls charged to the retry budgets, by service
+	chargedAt time.Time
 }
 
 // handleOffer starts, queues or rejects an offer for the node's backend server.
 func (n *node) handleOffer(c *call, reply func(answer)) {
-	r := &run{call: c, reply: reply, isRepeat: c.isResent}
+	r := &run{call: c, reply: reply, isRepeat: c.isResent || c.isOfRepeat}
 	now := n.simulation.Now()
-	if n.pool != nil && !n.pool.accept(now, c) {
+	if n.pool != nil && !n.pool.accept(now, r) {
 		n.answer(r, unfunded)
 		return
 	}
@@ -120,6 +122,9 @@
 		n.pool.meter.Record(isShed)
 	}
 	if isShed {
+		if n.pool != nil {
+			n.pool.returnCalls(r.started, r)
+		}
 		sim.AfterFunc(shedDelay, func() { n.end(r, shed) })
 		return
 	}
@@ -147,6 +152,7 @@
 	}
 	c := n.simulation.newCall(class.calls[r.nextIndex], n)
 	c.priority, c.end, c.useful = r.call.priority, r.call.end, r.call.useful
+	c.isOfRepeat = r.isRepeat
 	r.nextIndex++
 	c.done = func() {
 		r.callTime += n.simulation.Now().Sub(c.started)
--- a/internal/lab/overload/shedding_test.go
+++ b/internal/lab/overload/shedding_test.go
@@ -82,3 +82,28 @@
 		}
 	}
 }
+
+// Guards against repeats beyond the retry budget of a service that sheds nothing itself:
+// the calls of a run that is a repeat count as repeats too, however deep they are.
+func TestRepeatsBelowSheddingService(t *testing.T) {
+	for _, file := range []string{"regie.json", "cvetje-celje.json", "thistlegate-turns.json"} {
+		s, err := document.Load[optimum.Scenario](filepath.Join("..", "..", "..", "examples", "loads", file))
+		require.NoError(t, err)
+		for _, v := range s.Services {
+			t.Run(file+" "+v.Name, func(t *testing.T) {
+				t.Parallel()
+				p := overload.Pattern{
+					Load: 0.8, SheddingService: v.Name, SheddingServers: v.Servers, ShedFraction: 0.3, ShedStart: shedStart, ShedTime: 2 * shedTime,
+				}
+				sim, err := overload.New(&s, p, 1, overload.WithPool())
+				require.NoError(t, err)
+				sim.Run(shedStart + 2*shedTime + recoveryTime)
+				for _, other := range s.Services {
+					use := sim.BudgetUse(other.Name)
+					t.Logf("%s: budget used %.3f", other.Name, use)
+					require.LessOrEqual(t, use, 1.0, other.Name)
+				}
+			})
+		}
+	}
+}
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -32,8 +32,8 @@
 	arrivedAt  time.Time
 	startedAt  time.Time
 	canceled   bool
-	unfunded   bool          // the retry budget did not cover it any more when it could start
-	repeatAt   time.Time     // when it was charged to the retry budget; zero if it was not
+	unfunded   bool // the retry budget did not cover it any more when it could start
+	repeat     repeat
 	withdrawn  chan struct{} // closed when the offer is withdrawn; nil without nested calls
 	queueDelay time.Duration // queue delay of its nested calls
 	overloaded bool          // a nested call was refused for lack of capacity
@@ -244,8 +244,11 @@
 	}
 	n.recordNotice(now, ex, a)
 	n.recordShedding(a)
-	if a.NotRun && !a.Sent {
+	switch {
+	case a.NotRun && !a.Sent:
 		n.returnRepeat(now, ex)
+	case a.NotRun:
+		n.returnCalls(now, ex)
 	}
 	completed := reply{execution: ex, answer: n.answer(now, ex, a)}
 	if completed.answer.Outcome == outcome.Complete {
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -191,10 +191,9 @@
 		req.offer.Nested = true
 		req.parent, req.withdrawn = parent, parent.withdrawnChannel()
 		parent.placed.calls.begin(now)
-		n.countRequest(now, req.service)
+		n.countCall(now, req)
 		req.offer.Priority = parent.offer.Priority
 		n.inheritObjective(req)
-		n.markRerun(req)
 		n.callGraph.Call(parent.offer.Route, req.routeKey)
 		n.calledServices[req.routeKey] = req.service
 		return outcome.None, nil
--- a/internal/sidecar/sharing.go
+++ b/internal/sidecar/sharing.go
@@ -14,6 +14,7 @@
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/demand"
 	"github.com/papayapath/papayapath/pkg/frame"
+	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/retryshare"
 	"github.com/papayapath/papayapath/pkg/shedding"
@@ -35,17 +36,22 @@
 	meter shedding.Meter // of the local backend server
 	// share is the part of the retry budget of the own service that belongs to the local
 	// backend server. It bounds the repeats that are sent to that server.
-	share   *retryshare.Share
-	clock   elapsedClock
-	gate    *demand.Gate
-	alerted map[string]struct{} // services that this node has logged as shedding
-	used    int64               // repeats and refusals when the use was logged last
+	share *retryshare.Share
+	// callShares are the parts of the retry budgets of other services that the calls of the
+	// local backend server bring in. Runs that repeat others are limited to those whose
+	// calls they cover.
+	callShares map[string]*retryshare.Share
+	clock      elapsedClock
+	gate       *demand.Gate
+	alerted    map[string]struct{} // services that this node has logged as shedding
+	used       int64               // repeats and refusals when the use was logged last
 }
 
 func newSharing(now time.Time, env *environment.Environment) *sharing {
 	s := &sharing{
-		gate:    demand.New(env.RetryBudgetRatio, env.RetryBudgetSlack, env.RetryBudgetWindow),
-		alerted: make(map[string]struct{}),
+		callShares: make(map[string]*retryshare.Share),
+		gate:       demand.New(env.RetryBudgetRatio, env.RetryBudgetSlack, env.RetryBudgetWindow),
+		alerted:    make(map[string]struct{}),
 	}
 	var options []retryshare.Option
 	if env.FirstStart {
@@ -103,6 +109,21 @@
 	}
 }
 
+// countCall counts a call of the local backend server for the retry budget of its service.
+// A call of a run that is a repeat counts as a repeat itself.
+func (n *Node) countCall(now time.Time, req *request) {
+	if n.sharing == nil || req.parent.offer.Repeat == frame.First {
+		n.countRequest(now, req.service)
+		if n.sharing != nil {
+			elapsed := n.sharing.clock.at(now)
+			n.callShare(elapsed, req.service).Add(elapsed, 1)
+		}
+		return
+	}
+	n.stats.repeatCalls.Inc(1)
+	req.resends.next = frame.Rerun
+}
+
 // allowanceOptions returns the options of the retry budgets.
 func (n *Node) allowanceOptions() []allowance.Option {
 	if n.sharing == nil {
@@ -111,18 +132,6 @@
 	return []allowance.Option{allowance.WithEarlierRequests()}
 }
 
-// markRerun marks a call of a run that repeats one which may have run. The node that
-// repeated the run has charged it.
-func (n *Node) markRerun(req *request) {
-	if n.sharing == nil || req.parent.offer.Repeat == frame.First {
-		return
-	}
-	n.stats.repeatCalls.Inc(1)
-	if req.parent.offer.Repeat == frame.Rerun {
-		req.resends.next = frame.Rerun
-	}
-}
-
 // coversDemand reports whether the retry budgets are likely to cover the calls of a new
 // request. Requests for which this is unknown are admitted.
 func (n *Node) coversDemand(now time.Time, req *request) bool {
@@ -193,6 +202,12 @@
 	return true
 }
 
+// repeat is what an execution that is a repeat has been charged.
+type repeat struct {
+	at    time.Time // elapsed time; zero if nothing was charged
+	calls []frame.ServiceCalls
+}
+
 // takeRepeat reports whether the retry budget covers an offer of the own service, and
 // records what the offer tells of it.
 func (n *Node) takeRepeat(now time.Time, ex *execution) bool {
@@ -208,7 +223,11 @@
 	}
 	n.refreshRoster()
 	s.share.SetServers(elapsed, n.roster.Servers(n.env.Service))
-	if o.Repeat == frame.Resent && !s.share.Covers(elapsed, retryshare.ResendPart(o.Priority.Level()), 1) {
+	part := retryshare.Whole
+	if o.Repeat == frame.Resent {
+		part = retryshare.ResendPart(o.Priority.Level())
+	}
+	if !s.share.Covers(elapsed, part, 1) || o.Repeat == frame.Resent && !n.takeCalls(elapsed, ex) {
 		n.stats.resendsRefused.Inc(1)
 		return false
 	}
@@ -218,37 +237,87 @@
 		n.stats.rerunsTaken.Inc(1)
 	}
 	s.share.Spend(elapsed, 1)
-	ex.repeatAt = elapsed
+	ex.repeat.at = elapsed
 	return true
 }
 
-// returnRepeat returns a repeat that has been charged and is not sent to the server.
+// takeCalls reports whether the requests of the called services cover the calls of a run
+// that is a repeat, and charges them. The nodes beside the servers that are called refuse
+// what is beyond the budget of their service; without this check they would refuse single
+// calls of many runs, which then fail after most of their work.
+func (n *Node) takeCalls(elapsed time.Time, ex *execution) bool {
+	var calls []frame.ServiceCalls
+	n.callGraph.Calls(ex.offer.Route, func(child message.Route, mean float64) {
+		service := n.calledServices[child]
+		for i := range calls {
+			if calls[i].Service == service {
+				calls[i].Calls += float32(mean)
+				return
+			}
+		}
+		calls = append(calls, frame.ServiceCalls{Service: service, Calls: float32(mean)})
+	})
+	for _, c := range calls {
+		if !n.callShare(elapsed, c.Service).Covers(elapsed, retryshare.Whole, float64(c.Calls)) {
+			return false
+		}
+	}
+	for _, c := range calls {
+		n.callShare(elapsed, c.Service).Spend(elapsed, float64(c.Calls))
+	}
+	ex.repeat.calls = calls
+	return true
+}
+
+// returnRepeat returns what a repeat has been charged that is not sent to the server.
 func (n *Node) returnRepeat(now time.Time, ex *execution) {
-	if ex.repeatAt.IsZero() {
+	if ex.repeat.at.IsZero() {
 		return
 	}
-	n.sharing.share.Return(n.sharing.clock.at(now), ex.repeatAt, 1)
-	ex.repeatAt = time.Time{}
+	n.sharing.share.Return(n.sharing.clock.at(now), ex.repeat.at, 1)
+	n.returnCalls(now, ex)
+	ex.repeat = repeat{}
+}
+
+// returnCalls returns the calls that a repeat has been charged and that its run, which the
+// server shed, has not made.
+func (n *Node) returnCalls(now time.Time, ex *execution) {
+	for _, c := range ex.repeat.calls {
+		n.callShare(ex.repeat.at, c.Service).Return(n.sharing.clock.at(now), ex.repeat.at, float64(c.Calls))
+	}
+	ex.repeat.calls = nil
+}
+
+// callShare returns the part of the retry budget of a service that the calls of the local
+// backend server bring in.
+func (n *Node) callShare(elapsed time.Time, service string) *retryshare.Share {
+	s := n.sharing.callShares[service]
+	if s == nil {
+		s = retryshare.New(elapsed, n.env.RetryBudgetRatio, 0, n.env.RetryBudgetWindow)
+		n.sharing.callShares[service] = s
+	}
+	return s
 }
 
 // takeDelayedRepeat charges a repeat anew that was queued for long: it counts in the
 // windows in which it is sent. It reports whether the retry budget covers it.
 func (n *Node) takeDelayedRepeat(now time.Time, ex *execution) bool {
-	if ex.repeatAt.IsZero() {
+	if ex.repeat.at.IsZero() {
 		return true
 	}
 	s, elapsed := n.sharing.share, n.sharing.clock.at(now)
-	if elapsed.Sub(ex.repeatAt) <= s.MaxDelay() {
+	if elapsed.Sub(ex.repeat.at) <= s.MaxDelay() {
 		return true
 	}
-	s.Return(elapsed, ex.repeatAt, 1)
-	if ex.offer.Repeat == frame.Resent && !s.Covers(elapsed, retryshare.Whole, 1) {
+	s.Return(elapsed, ex.repeat.at, 1)
+	if !s.Covers(elapsed, retryshare.Whole, 1) {
 		n.stats.resendsRefused.Inc(1)
-		ex.repeatAt = time.Time{}
+		n.returnCalls(now, ex)
+		ex.repeat = repeat{}
 		return false
 	}
 	s.Spend(elapsed, 1)
-	ex.repeatAt = elapsed
+	ex.repeat.at = elapsed
 	return true
 }
 
