Count the precedence of starved requests when it is given

A kind counted as starved until the first of its requests with precedence had ended, some seconds later; until then each of them passed window and prospects as the most important ones, at 96 entry nodes at once.

Evidence: TestPrecedenceInTheMesh, 96 nodes without a network.

Change: a request counts as served from the moment at which it is given precedence, and no more if it fails (ratio.Revoke).

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -98,7 +98,12 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	n.starvation.Record(now, req.routeKey, served)
+	switch {
+	case !req.isPromoted:
+		n.starvation.Record(now, req.routeKey, served)
+	case !served:
+		n.starvation.Fail(now, req.routeKey, req.admitted)
+	}
 	if req.serverAttempts > 0 && !req.isPromoted && (served || req.overloaded) {
 		n.prospects.Record(now, req.routeKey, served)
 	}
@@ -219,6 +224,8 @@
 		return outcome.Budget, nil
 	case isStarved:
 		req.isPromoted = true
+		req.admitted = now
+		n.starvation.Promote(now, req.routeKey)
 	case n.env.Pool && !n.prospects.Allows(now, req.routeKey):
 		n.stats.hopeless.Inc(1)
 		return outcome.Overload, nil
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -47,7 +47,7 @@
 	parent          *execution          // execution that sent the request, if known
 	withdrawn       <-chan struct{}     // closed when the parent is withdrawn; nil without a parent
 	window          *window.Window      // window that counts the request; nil for nested calls
-	admitted        time.Time           // if window is not nil, when it admitted the request
+	admitted        time.Time           // when its window admitted it, or it was given precedence
 	isPromoted      bool                // it has precedence because its kind was starved
 	rejection       *windowState        // state of the window that refused the request, if any
 	admission       chan outcome.Reason // if the request waits for a place in its window, the decision
--- a/pkg/ratio/ratio.go
+++ b/pkg/ratio/ratio.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// Revoke turns a success that was counted at a time into a failure.
+func (r *Ratio) Revoke(now, counted time.Time) {
+	r.decay(now)
+	age := max(0, r.updated.Sub(counted))
+	r.successes = max(0, r.successes-math.Exp(-age.Seconds()/r.memory.Seconds()))
+}
+
 // Events returns the weight of all events.
 func (r *Ratio) Events(now time.Time) float64 {
 	r.decay(now)
--- a/pkg/ratio/ratio_test.go
+++ b/pkg/ratio/ratio_test.go
@@ -30,3 +30,16 @@
 	require.InDelta(t, 1, r.Successes(now.Add(-time.Hour)), 1e-9)
 	require.InDelta(t, 0, r.Events(now.Add(time.Hour)), 1e-9)
 }
+
+// Guards against a success that weighs more or less when it is revoked than by then.
+func TestRevokedSuccess(t *testing.T) {
+	start := time.Unix(1_790_000_000, 0)
+	r := ratio.New(time.Second)
+	r.Add(start, true)
+	r.Add(start.Add(time.Second), true)
+	r.Revoke(start.Add(2*time.Second), start)
+	require.InDelta(t, math.Exp(-1), r.Successes(start.Add(2*time.Second)), 1e-9)
+	require.InDelta(t, math.Exp(-1)+math.Exp(-2), r.Events(start.Add(2*time.Second)), 1e-9)
+	r.Revoke(start.Add(2*time.Second), start.Add(3*time.Second))
+	require.Zero(t, r.Successes(start.Add(2*time.Second)))
+}
--- a/pkg/starvation/detector.go
+++ b/pkg/starvation/detector.go
@@ -54,6 +54,19 @@
 	d.all.Add(now, served)
 }
 
+// Promote records that a request of a kind is given precedence. It counts as served from
+// now on, until Fail: otherwise each request of the kind would be given precedence until the
+// first of them ends, at all nodes at once.
+func (d *Detector[K]) Promote(now time.Time, kind K) { d.Record(now, kind, true) }
+
+// Fail records that a request that was given precedence at a time was not served.
+func (d *Detector[K]) Fail(now time.Time, kind K, promoted time.Time) {
+	if r := d.kinds[kind]; r != nil {
+		r.Revoke(now, promoted)
+	}
+	d.all.Revoke(now, promoted)
+}
+
 // IsStarved reports whether requests of a kind are served much less often than all
 // requests.
 func (d *Detector[K]) IsStarved(now time.Time, kind K) bool {
--- a/pkg/starvation/detector_test.go
+++ b/pkg/starvation/detector_test.go
@@ -1,6 +1,7 @@
 package starvation_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -66,3 +67,75 @@
 	}
 	require.False(t, d.IsStarved(later, "gift"), "nothing is served")
 }
+
+// Load: from one second on, 96 nodes with six requests a second each have no room for the
+// less important kind, two thirds of them. Guards
+// against precedence for all requests of the kind, at all nodes at once, until the first of
+// them ends: that takes the room of the more important ones all over the mesh.
+func TestPrecedenceInTheMesh(t *testing.T) {
+	const (
+		nodes    = 96
+		tick     = 10 * time.Millisecond
+		second   = int(time.Second / tick)
+		seconds  = 40
+		shortage = 5 * second
+		views    = 4.0 // a second at each node
+		orders   = 2.0
+	)
+	random := rand.New(rand.NewPCG(1, 1))
+	detectors := make([]*starvation.Detector[string], nodes)
+	for i := range detectors {
+		detectors[i] = starvation.New[string]()
+	}
+	var promoted, all [seconds]float64
+	for i := range seconds * second {
+		now := start.Add(time.Duration(i) * tick)
+		for _, d := range detectors {
+			if random.Float64() < orders/float64(second) {
+				d.Record(now, "order", true)
+			}
+			if random.Float64() >= views/float64(second) {
+				continue
+			}
+			all[i/second]++
+			if i >= shortage && d.IsStarved(now, "view") {
+				d.Promote(now, "view")
+				promoted[i/second]++
+				continue
+			}
+			d.Record(now, "view", i < shortage)
+		}
+	}
+	// With a share p of the views served, (2 + 4p)/6 of all requests are. Half of that is
+	// due to the views, so that p is a quarter.
+	sumPromoted, sumAll := 0.0, 0.0
+	for i := range promoted {
+		require.Less(t, promoted[i], 0.45*all[i], "second %d", i)
+		if i >= seconds/2 {
+			sumPromoted += promoted[i]
+			sumAll += all[i]
+		}
+	}
+	t.Logf("%.3f of the views have precedence", sumPromoted/sumAll)
+	require.InDelta(t, 0.25, sumPromoted/sumAll, 0.06)
+}
+
+// Guards against a kind that counts as served because its requests are given precedence,
+// though they fail.
+func TestPrecedenceThatFails(t *testing.T) {
+	d := starvation.New[string]()
+	for range 100 {
+		d.Record(start, "view", true)
+		d.Record(start, "gift", false)
+	}
+	for range 100 {
+		d.Promote(start, "gift")
+	}
+	require.False(t, d.IsStarved(start, "gift"))
+	later := start.Add(time.Second)
+	for range 100 {
+		d.Fail(later, "gift", start)
+	}
+	require.True(t, d.IsStarved(later, "gift"))
+	d.Fail(later, "unknown", start)
+}
