--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -92,13 +92,14 @@
 }
 
 // Repeat tells whether a request or call has been sent to a server of its service before.
+// The receiver charges all but the first to the retry budget.
 type Repeat uint8
 
 // Kinds of attempts.
 const (
 	First  Repeat = iota
-	Rerun         // it, or the run that makes the call, may have run before; the sender has charged it
-	Resent        // a server has shed it, and the receiver charges it to the retry budget
+	Rerun         // it may have run before, or the run that makes the call is a repeat
+	Resent        // a server has shed it
 )
 
 // Answer is the final reply to an offer.
