--- a/internal/sidecar/sharing.go
+++ b/internal/sidecar/sharing.go
@@ -70,7 +70,7 @@
 
 // at returns the elapsed time at a time of the steady clock.
 func (c *elapsedClock) at(now time.Time) time.Time {
-	if d := now.Sub(c.steady); d < 0 || d > clockInterval {
+	if now.Sub(c.steady) > clockInterval {
 		c.steady, c.elapsed = now, boottime.Now()
 	}
 	return c.elapsed.Add(now.Sub(c.steady))
