Give a restarted node no slack before it knows another server

Change: the wait for the slack begins when the node first knows another server; a node tells its share the known servers whenever they change, not only when a repeat arrives.

--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -321,7 +321,7 @@
 // chooseNode returns the node to which a request is offered next, or "" if there
 // is none.
 func (n *Node) chooseNode(now time.Time, req *request) string {
-	n.refreshRoster()
+	n.refreshRoster(now)
 	isUsable := func(node string) bool {
 		return !slices.Contains(req.triedNodes, node) && req.resends.allows(node) && (node == n.self.Node || n.mesh.Link(node) != nil)
 	}
@@ -345,7 +345,7 @@
 }
 
 // refreshRoster updates the roster from the registry if the registry has changed.
-func (n *Node) refreshRoster() {
+func (n *Node) refreshRoster(now time.Time) {
 	changes := n.registry.Changes()
 	if changes == n.rosterRevision {
 		return
@@ -365,7 +365,7 @@
 	}
 	n.roster.Replace(candidates)
 	if n.sharing != nil {
-		n.sharing.setNodes(n.env, n.registry.Len())
+		n.sharing.setNodes(now, n.env, n.registry.Len(), n.roster.Servers(n.env.Service))
 	}
 }
 
--- a/internal/sidecar/sharing.go
+++ b/internal/sidecar/sharing.go
@@ -76,9 +76,11 @@
 	return c.elapsed.Add(now.Sub(c.steady))
 }
 
-// setNodes sets the number of nodes that share the slack of the retry budgets.
-func (s *sharing) setNodes(env *environment.Environment, nodes int) {
+// setNodes sets the numbers of nodes and of servers of the own service that share the slack
+// of the retry budgets.
+func (s *sharing) setNodes(now time.Time, env *environment.Environment, nodes, servers int) {
 	s.gate.SetSlack(env.RetryBudgetSlack / float64(max(1, nodes)))
+	s.share.SetServers(s.clock.at(now), servers)
 }
 
 // resends is the state of the repeated sends of a request.
@@ -221,7 +223,7 @@
 	if o.Repeat == frame.First {
 		return true
 	}
-	n.refreshRoster()
+	n.refreshRoster(now)
 	s.share.SetServers(elapsed, n.roster.Servers(n.env.Service))
 	part := retryshare.Whole
 	if o.Repeat == frame.Resent {
--- a/pkg/retryshare/schedule_test.go
+++ b/pkg/retryshare/schedule_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -166,12 +165,16 @@
 // and credit comes late or not at all.
 func TestRepeatsStayWithinTheBudget(t *testing.T) {
 	require.Equal(t, maxDelay, retryshare.New(origin, ratio, slack, window).MaxDelay())
-	worst, most := 0.0, 0.0
-	for seed := range uint64(60) {
+	seeds := uint64(100) // seed 95 restarts nodes that are cut off for longer than they wait for the slack
+	if testing.Short() {
+		seeds = 12
+	}
+	worst := 0.0
+	for seed := range seeds {
 		s := &schedule{random: rand.New(rand.NewPCG(seed, 1)), newShare: newShare}
 		used := s.play(1+int(seed%12), time.Minute)
 		require.LessOrEqual(t, used, 1.0, "seed %d", seed)
-		worst, most = max(worst, used), max(most, slices.Max(s.observer.repeats))
+		worst = max(worst, used)
 	}
 	t.Logf("at most %.3f of the budget", worst)
 	require.Greater(t, worst, 0.8)
@@ -206,7 +209,10 @@
 // Guards against schedules that would not find a budget which holds only for windows that
 // end now, and not as a sum over servers.
 func TestSchedulesFindPlantedFault(t *testing.T) {
-	const seeds = 12
+	seeds := 12
+	if testing.Short() {
+		seeds = 6
+	}
 	found, worst := 0, 0.0
 	for seed := range uint64(seeds) {
 		s := &schedule{random: rand.New(rand.NewPCG(seed, 1)), newShare: func(time.Time, bool) granter {
--- a/pkg/retryshare/share.go
+++ b/pkg/retryshare/share.go
@@ -9,9 +9,9 @@
 const (
 	// buckets is the number of buckets of a window.
 	buckets = 40
-	// settlingWindows is the number of windows after the start of a node in which it has
-	// no part of the slack: what its predecessor at the same server has spent leaves the
-	// window in the first one, and other nodes learn of a new server in the second one.
+	// settlingWindows is the number of windows in which a node that knows other servers has
+	// no part of the slack yet: what its predecessor at the same server has spent leaves
+	// the window in the first one, and others learn of a new server in the second one.
 	settlingWindows = 2
 	// holdWindows is the number of windows for which a server counts among those that
 	// share the slack after it is no longer known. A node that is cut off from the others
@@ -40,8 +40,8 @@
 	ratio, slack float64
 	bucket       time.Duration
 	origin       time.Time
-	slackFrom    time.Time
-	newest       int64 // index of the newest bucket since origin
+	slackFrom    time.Time // zero if there is no part of the slack yet
+	newest       int64     // index of the newest bucket since origin
 	requests     [2 * buckets]float64
 	repeats      [buckets + 2]float64
 	servers      int // that share the slack
@@ -60,10 +60,7 @@
 // least.
 func New(now time.Time, ratio, slack float64, window time.Duration, options ...Option) *Share {
 	window = max(window, time.Microsecond)
-	s := &Share{
-		ratio: ratio, slack: slack, bucket: window / buckets, origin: now, servers: 1, serversAt: now,
-		slackFrom: now.Add(settlingWindows * window),
-	}
+	s := &Share{ratio: ratio, slack: slack, bucket: window / buckets, origin: now, servers: 1, serversAt: now}
 	for _, o := range options {
 		o(s)
 	}
@@ -79,8 +76,13 @@
 	s.requests[s.advance(now)%int64(len(s.requests))] += n
 }
 
-// SetServers sets the number of known servers of the service.
+// SetServers sets the number of known servers of the service, its own included. A node that
+// has never known another one may have been cut off since its start, and has no part of the
+// slack.
 func (s *Share) SetServers(now time.Time, n int) {
+	if n > 1 && s.slackFrom.IsZero() {
+		s.slackFrom = now.Add(settlingWindows * buckets * s.bucket)
+	}
 	if n >= s.servers || now.Sub(s.serversAt) > holdWindows*buckets*s.bucket {
 		s.servers = max(1, n)
 	}
@@ -101,7 +103,7 @@
 func (s *Share) Covers(now time.Time, part, n float64) bool {
 	newest := s.advance(now)
 	slack := 0.0
-	if !now.Before(s.slackFrom) {
+	if !s.slackFrom.IsZero() && !now.Before(s.slackFrom) {
 		slack = s.slack / float64(s.servers)
 	}
 	// A window begins anywhere in its first bucket and ends in the last but one bucket
