--- a/pkg/retryshare/share.go
+++ b/pkg/retryshare/share.go
@@ -106,15 +106,15 @@
 	if !s.slackFrom.IsZero() && !now.Before(s.slackFrom) {
 		slack = s.slack / float64(s.servers)
 	}
-	// A window begins anywhere in its first bucket and ends in the last but one bucket
-	// after it. It is paid by the requests of the whole buckets before it, without the
-	// oldest one, whose requests may have been sent before that.
+	// The windows that include now begin within one of the buckets from first to newest.
+	// Each is paid by the requests of the whole buckets in the window before it, without
+	// the oldest of them, whose requests may have been sent earlier still.
 	first := newest - buckets
 	requests, repeats := 0.0, n
 	for i := first - buckets + 2; i < first; i++ {
 		requests += s.requestsIn(i)
 	}
-	// Repeats may have been granted one bucket before they are sent.
+	// Repeats may be sent one bucket after they were granted.
 	for i := first - 1; i <= newest; i++ {
 		repeats += s.repeatsIn(i)
 	}
