review: case 13, answers to slow readers are cut by a planned stop

Cause: a stopping node takes a request if its server answers before the exit. The time in which the client reads the answer is not part of that.

--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -19,6 +19,7 @@
 var cases = map[string]func(record *recorder, folder string, trouble bool) error{
 	"writer": playWriter,
 	"poison": playPoison,
+	"reader": playReader,
 }
 
 func main() {
