review: case 14, 503 of a server that has run an unsafe request is passed on

Cause: a whole answer of a server is returned as it is. A 503 without the statement that the request has not run reaches the client, for which 503 is that statement.

--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -17,9 +17,10 @@
 
 // cases are the cases by their names.
 var cases = map[string]func(record *recorder, folder string, trouble bool) error{
-	"writer": playWriter,
-	"poison": playPoison,
-	"reader": playReader,
+	"writer":  playWriter,
+	"poison":  playPoison,
+	"reader":  playReader,
+	"failure": playFailure,
 }
 
 func main() {
