review: case 15, limits of an older configuration on open connections

Cause: the limits are read before the wait for the first byte of a request, and applied to the request that ends the wait.

--- a/review/harness3/main.go
+++ b/review/harness3/main.go
@@ -21,6 +21,7 @@
 	"poison":  playPoison,
 	"reader":  playReader,
 	"failure": playFailure,
+	"limits":  playLimits,
 }
 
 func main() {
