--- a/review/harness3/failure.go
+++ b/review/harness3/failure.go
@@ -12,17 +12,22 @@
 const (
 	failureTime  = 6 * time.Second
 	failureShare = 0.45
+	// serverCount makes one failing server a share of 0.125.
+	serverCount = 8
 )
 
-// playFailure has one server of three fail a part of the requests that it has run, with
+// playFailure has one server of eight fail a part of the requests that it has run, with
 // status 503 and without the field that says that a request was not run.
 func playFailure(record *recorder, folder string, trouble bool) error {
 	routes := []route{
 		{prefix: "/reserve/", kind: "unsafe", service: "reservations", timeout: 5 * time.Second},
 		{prefix: "/tariff/", kind: "safe", service: "reservations", timeout: 5 * time.Second, priority: 1},
 	}
-	w, err := newWorld(record, folder, routes,
-		machine{"reservations", "a", 64}, machine{"reservations", "b", 64}, machine{"reservations", "c", 64})
+	var machines []machine
+	for i := range serverCount {
+		machines = append(machines, machine{"reservations", string(rune('a' + i%3)), 64})
+	}
+	w, err := newWorld(record, folder, routes, machines...)
 	if err != nil {
 		return err
 	}
@@ -35,7 +40,7 @@
 		}
 	}
 	var clients sync.WaitGroup
-	for i := range 12 {
+	for i := range 3 * serverCount {
 		n := w.nodes[i%len(w.nodes)]
 		clients.Go(func() {
 			for ctx.Err() == nil {
