--- a/internal/event/catalogue.go
+++ b/internal/event/catalogue.go
@@ -58,6 +58,7 @@
 	BackendStateChanged   = register(641, logrus.InfoLevel, "backend server state changed")
 	ServerNoticeChanged   = register(642, logrus.InfoLevel, "server notice changed")
 	ServerLimitInForce    = register(643, logrus.InfoLevel, "server limit in force")
+	BackendCrashed        = register(644, logrus.WarnLevel, "backend server crashed")
 	RequestMalformed      = register(650, logrus.WarnLevel, "request malformed")
 	RequestRefused        = register(651, logrus.InfoLevel, "request refused")
 	RequestOutcomeUnknown = register(652, logrus.WarnLevel, "request ended with an unknown outcome")
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -353,6 +353,9 @@
 // refuseOffer returns the answer to a refused offer.
 func (n *Node) refuseOffer(now time.Time, ex *execution, reason outcome.Reason) reply {
 	n.stats.offersRefused.Inc(1)
+	if reason == outcome.Suspect {
+		n.stats.suspectOffers.Inc(1)
+	}
 	n.unsentAnswers.Add(1)
 	n.returnRepeat(now, ex)
 	a := frame.Answer{ID: ex.key.id, Outcome: outcome.NotRun, Reason: reason}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -53,6 +53,8 @@
 	resendsTaken   metrics.Counter     // repeats charged to it after a server shed the request
 	rerunsTaken    metrics.Counter     // other repeats charged to it
 	repeatCalls    metrics.Counter     // calls of runs that were repeats
+	crashes        metrics.Counter     // crashes of the local backend server
+	suspectOffers  metrics.Counter     // offers refused because their request is suspected of crashing servers
 	sends          metrics.Counter     // requests sent to the local backend server
 	lateSends      metrics.Counter     // those among them that waited until they could not meet their objective
 	latency        histogram.Histogram // of complete responses
@@ -86,6 +88,8 @@
 		unwantedCalls:  counter("calls_unwanted"),
 		cutRuns:        counter("runs_cut"),
 		logFailures:    counter("log_failures"),
+		crashes:        counter("server_crashes"),
+		suspectOffers:  counter("offers_refused_suspect"),
 		sends:          counter("server_requests"),
 		lateSends:      counter("server_requests_late"),
 		budgetRefused:  counter("requests_refused_budget"),
@@ -146,6 +150,7 @@
 	}
 	line("server_limit", int64(n.runner.Limit()))
 	n.placement.metrics(time.Now(), n.runner.Queued(), line)
+	line("requests_suspected", int64(n.quarantine.Len(time.Now())))
 	line("nodes", int64(n.registry.Len()))
 	line("links", int64(len(n.mesh.Links())))
 	line("log_generation", int64(n.logGeneration))
--- a/internal/sidecar/suspicions.go
+++ b/internal/sidecar/suspicions.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"github.com/sirupsen/logrus"
+
+	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/frame"
@@ -50,9 +53,26 @@
 	}
 	n.brokenExecutions = n.brokenExecutions[:0]
 	n.quarantine.RecordCrash(now, inFlight)
+	n.logCrash(now, inFlight)
 	n.broadcastSuspicions(now)
 }
 
+// logCrash counts and logs a crash of the backend server with the given requests in
+// flight.
+func (n *Node) logCrash(now time.Time, inFlight []quarantine.Request) {
+	n.stats.crashes.Inc(1)
+	n.journal.WriteSampled(now, event.BackendCrashed, func() logrus.Fields {
+		refused := 0
+		for _, r := range inFlight {
+			if n.quarantine.Check(now, r) == quarantine.Refuse {
+				refused++
+			}
+		}
+		server := n.readiness.Last()
+		return logrus.Fields{"server": server.ID, "born": server.Born, "requests": len(inFlight), "refused": refused}
+	})
+}
+
 // broadcastSuspicions sends changed suspicions to all linked nodes.
 func (n *Node) broadcastSuspicions(now time.Time) {
 	changes := n.quarantine.DrainChanges(now, nil)
