Keep crashes of a request as a set, so that those of several nodes add up

What callers saw: a request that had crashed servers of several nodes at nearly the same time was let through again.

Cause: a node replaced its record of a request by the one with the higher revision. Two nodes that each counted one crash told each other "one", and a completion beside a crash won or lost by its revision. On paper any number of crashes could count as one.

Change: a record is the set of the crashes of a request, each with an ID that is the same at all nodes. A completion clears those that its node knows. Records are merged by union, which does not depend on loss, repetition or order of messages.

The product's own nodes use the same package and had the same fault. What an offer tells of earlier crashes is a lower bound of the count now, not a record.

--- a/internal/sidecar/suspicions.go
+++ b/internal/sidecar/suspicions.go
@@ -1,8 +1,10 @@
 package sidecar
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/papayapath/papayapath/internal/event"
@@ -52,15 +54,16 @@
 		}
 	}
 	n.brokenExecutions = n.brokenExecutions[:0]
-	n.quarantine.RecordCrash(now, inFlight)
+	n.stats.crashes.Inc(1)
+	id := xxhash.Sum64String(fmt.Sprint(n.self.Node, n.started.UnixNano(), n.stats.crashes.Count()))
+	n.quarantine.RecordCrash(now, id, inFlight)
 	n.logCrash(now, inFlight)
 	n.broadcastSuspicions(now)
 }
 
-// logCrash counts and logs a crash of the backend server with the given requests in
+// logCrash logs a crash of the backend server with the given requests in
 // flight.
 func (n *Node) logCrash(now time.Time, inFlight []quarantine.Request) {
-	n.stats.crashes.Inc(1)
 	n.journal.WriteSampled(now, event.BackendCrashed, func() logrus.Fields {
 		refused := 0
 		for _, r := range inFlight {
--- a/pkg/acceptor/acceptor.go
+++ b/pkg/acceptor/acceptor.go
@@ -41,6 +41,7 @@
 	lowerStarted time.Time // when a call below Critical was last started
 	isolation    isolation
 	casualties   casualties
+	crashes      int // crashes of the own backend server
 	routes       routes
 	answers      answers
 	scratch      []*entry
--- a/pkg/acceptor/end.go
+++ b/pkg/acceptor/end.go
@@ -1,8 +1,11 @@
 package acceptor
 
 import (
+	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/papayapath/papayapath/pkg/action"
 	"github.com/papayapath/papayapath/pkg/instance"
 	"github.com/papayapath/papayapath/pkg/message"
@@ -56,7 +59,8 @@
 	for e := range a.running.Ascend {
 		requests = append(requests, e.request())
 	}
-	a.quarantine.RecordCrash(now, requests)
+	a.crashes++
+	a.quarantine.RecordCrash(now, xxhash.Sum64String(fmt.Sprint(a.self, a.crashes)), requests)
 }
 
 // refuseAll empties one of the queues of waiting calls.
--- a/pkg/acceptor/suspect_test.go
+++ b/pkg/acceptor/suspect_test.go
@@ -74,7 +74,7 @@
 // server from its work.
 func TestSuspectRunsAlone(t *testing.T) {
 	q := quarantine.New()
-	q.RecordCrash(start, []quarantine.Request{{Customer: "quimper", Content: poison}, {Customer: "quimper", Content: 2}})
+	q.RecordCrash(start, 1, []quarantine.Request{{Customer: "quimper", Content: poison}, {Customer: "quimper", Content: 2}})
 	a := acceptor.New(self, acceptor.WithQuarantine(q))
 	a.Announce(start, "calendars", 8)
 	require.True(t, ran(1, a.Offer(start, peer, offerOf(1, importance.Normal), nil)))
--- a/pkg/frame/fuzz_test.go
+++ b/pkg/frame/fuzz_test.go
@@ -47,7 +47,7 @@
 	add(message.Encode(frame.Buckets{Buckets: []int{-1, 3}}))
 	add(message.Encode(frame.Configuration{Version: 1}))
 	add(message.Encode(frame.Ping{}))
-	add(message.Encode(frame.Suspicions{Suspicions: []message.Suspicion{{Customer: "c", Crashes: -1}}}))
+	add(message.Encode(frame.Suspicions{Suspicions: []message.Suspicion{{Customer: "c", Crashes: []message.Crash{{ID: 1, TTL: -1}}}}}))
 	for _, odd := range []string{"", "\xff", "\x81\x9b\xff\xff\xff\xff\xff\xff\xff\xff", "\x9f\xff", "\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81\x81", "\x81\xc2\x4a\x01\x02", "\x81\xf6", "\x81\x81\xf6"} {
 		f.Add([]byte(odd))
 	}
--- a/pkg/node/call.go
+++ b/pkg/node/call.go
@@ -9,10 +9,11 @@
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/priority"
+	"github.com/papayapath/papayapath/pkg/quarantine"
 )
 
-// suspicionLeft is how long a suspicion lasts that an offer brings along. The
-// one that the crash raised takes its place much earlier.
+// suspicionLeft is how long the crashes count that an offer tells of. What the nodes
+// where they happened know of them arrives much earlier.
 const suspicionLeft = time.Minute
 
 // Arrive takes a new call of a caller or of the own backend server and returns
@@ -51,10 +52,7 @@
 	start := len(out.Actions)
 	if o.Crashes > 0 {
 		// The retry may be here before the suspicion that its crash raised.
-		n.quarantine.Merge(now, message.Suspicion{
-			Customer: o.Customer, Content: o.Content,
-			Crashes: o.Crashes, Revision: uint64(o.Crashes), TTL: suspicionLeft,
-		})
+		n.quarantine.Report(now, quarantine.Request{Customer: o.Customer, Content: o.Content}, o.Crashes, suspicionLeft)
 	}
 	out.Actions = n.acceptor.Offer(now, from, o, out.Actions)
 	n.track(now, out, start)
--- a/pkg/quarantine/memory_test.go
+++ b/pkg/quarantine/memory_test.go
@@ -31,7 +31,7 @@
 	before := heap()
 	for i := range suspicions {
 		q.Merge(now, message.Suspicion{
-			Customer: fmt.Sprint(i) + strings.Repeat("x", nameLength), Content: uint64(i), Crashes: 1, Revision: 1, TTL: time.Minute,
+			Customer: fmt.Sprint(i) + strings.Repeat("x", nameLength), Content: uint64(i), Crashes: []message.Crash{{ID: 1, TTL: time.Minute}},
 		})
 	}
 	after := heap()
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"slices"
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
@@ -16,6 +17,9 @@
 	// defaultCrashThreshold is the number of crashes from which a request is
 	// refused.
 	defaultCrashThreshold = 3
+	// maxCrashes bounds the crashes that are kept of one request. A request that completes
+	// between crashes may be in flight at many.
+	maxCrashes = 16
 	// defaultRefusalPeriod is the time for which a request is refused.
 	defaultRefusalPeriod = 10 * time.Minute
 	// panicTableSize is the panic message for an invalid table size.
@@ -45,6 +49,10 @@
 // so that a further crash affects no other request and identifies the culprit.
 // Crashes beside other requests never lead to refusal by themselves, because a
 // harmless request that many callers send is in flight at most crashes.
+//
+// The record of a request is the set of its crashes. A completion clears the crashes that
+// the node knows. Records of several nodes are merged by union, so that crashes that nodes
+// record at the same time add up, and messages may be lost, repeated or reordered.
 type Quarantine struct {
 	table         *simplelru.LRU[Request, record]
 	completions   completions
@@ -55,13 +63,20 @@
 	noIsolation   bool // suspects run beside other requests
 }
 
-// record is the crash history of one request. A record without crashes is kept
-// until it expires, so that a delayed message does not restore the suspicion.
+// record is the crash history of one request. Cleared crashes are kept until they expire,
+// so that a delayed message does not restore the suspicion.
 type record struct {
-	crashes  int
-	isolated int  // crashes while the request ran isolated
-	exempt   bool // not suspected: the only crash followed a recent completion
-	revision uint64
+	crashes       []crash
+	exempt        bool // not suspected: the only crash followed a recent completion
+	reported      int  // least number of crashes, as reported by a sender of the request
+	reportedUntil time.Time
+}
+
+// crash is a crash of a backend server with the request in flight.
+type crash struct {
+	id       uint64
+	isolated bool // the request ran isolated
+	cleared  bool // the request has completed since
 	expires  time.Time
 }
 
@@ -103,10 +118,14 @@
 		return Allow
 	}
 	rec, ok := q.table.Get(r)
+	if !ok {
+		return Allow
+	}
+	crashes, isolated := rec.count(now)
 	switch {
-	case !ok || rec.crashes == 0 || rec.exempt || !now.Before(rec.expires):
+	case crashes == 0 || rec.exempt:
 		return Allow
-	case q.refused(rec):
+	case crashes >= q.crashes && (q.noIsolation || isolated > 0):
 		return Refuse
 	case q.noIsolation:
 		return Allow
@@ -115,60 +134,139 @@
 	}
 }
 
-// RecordCrash records a crash of the backend server with the given requests in
-// flight.
-func (q *Quarantine) RecordCrash(now time.Time, inFlight []Request) {
+// count returns the number of crashes that are neither cleared nor expired, and how many
+// of them happened while the request ran isolated.
+func (rec *record) count(now time.Time) (crashes, isolated int) {
+	for _, c := range rec.crashes {
+		if c.cleared || !now.Before(c.expires) {
+			continue
+		}
+		crashes++
+		if c.isolated {
+			isolated++
+		}
+	}
+	if now.Before(rec.reportedUntil) {
+		crashes = max(crashes, rec.reported)
+	}
+	return crashes, isolated
+}
+
+// RecordCrash records a crash of the backend server with the given requests in flight. The
+// ID distinguishes the crash from all others of the mesh. A crash may be recorded again
+// with further requests.
+func (q *Quarantine) RecordCrash(now time.Time, id uint64, inFlight []Request) {
 	for _, r := range inFlight {
-		q.suspect(now, r, len(inFlight) == 1)
+		q.suspect(now, r, crash{id: id, isolated: len(inFlight) == 1, expires: now.Add(q.refusalPeriod)})
 	}
 }
 
-// suspect adds a crash to the record of r. The argument isolated reports whether
-// r was the only request in flight.
-func (q *Quarantine) suspect(now time.Time, r Request, isolated bool) {
+// suspect adds a crash to the record of r.
+func (q *Quarantine) suspect(now time.Time, r Request, c crash) {
 	rec := q.lookup(now, r)
-	rec.exempt = rec.crashes == 0 && !isolated && q.completions.has(r)
-	q.completions.remove(r)
-	rec.crashes++
-	if isolated {
-		rec.isolated++
+	if !rec.add(c) {
+		return
 	}
-	q.update(now, r, rec)
+	q.setExemption(now, r, &rec)
+	q.completions.remove(r)
+	q.update(r, rec)
+}
+
+// Report records that r has crashed at least the given number of servers, as a sender of r
+// knows before the crashes themselves are known here. The report counts for ttl.
+func (q *Quarantine) Report(now time.Time, r Request, crashes int, ttl time.Duration) {
+	rec := q.lookup(now, r)
+	rec.reported, rec.reportedUntil = max(rec.reported, crashes), now.Add(min(max(ttl, 0), q.refusalPeriod))
+	q.setExemption(now, r, &rec)
+	q.table.Add(r, rec)
 }
 
-// Complete records that r ran to completion and clears its suspicion.
+// Complete records that r ran to completion and clears its known crashes.
 func (q *Quarantine) Complete(now time.Time, r Request) {
 	q.completions.add(r)
 	if q.table.Len() == 0 {
 		return
 	}
 	rec, ok := q.table.Peek(r)
-	if !ok || rec.crashes == 0 {
+	if !ok {
+		return
+	}
+	if crashes, _ := rec.count(now); crashes == 0 {
 		return
 	}
-	q.update(now, r, record{revision: rec.revision})
+	rec = q.lookup(now, r)
+	for i := range rec.crashes {
+		rec.crashes[i].cleared = true
+	}
+	rec.exempt, rec.reported = false, 0
+	q.update(r, rec)
 }
 
 // maxCustomerBytes bounds the name of a customer in a suspicion of another node. The
 // table keeps the names.
 const maxCustomerBytes = 255
 
-// Merge applies a record of another node if it is newer. Of two concurrent
-// changes with the same revision, the one with more crashes wins.
+// Merge adds the crashes that another node knows of.
 func (q *Quarantine) Merge(now time.Time, s message.Suspicion) {
 	if len(s.Customer) > maxCustomerBytes {
 		return
 	}
 	r := Request{Customer: s.Customer, Content: s.Content}
 	rec := q.lookup(now, r)
-	if s.Revision < rec.revision || s.Revision == rec.revision && s.Crashes <= rec.crashes {
+	isChanged := false
+	for _, c := range s.Crashes[:min(len(s.Crashes), maxCrashes)] {
+		if c.TTL <= 0 {
+			continue
+		}
+		expires := now.Add(min(c.TTL, q.refusalPeriod))
+		isChanged = rec.add(crash{id: c.ID, isolated: c.Solo, cleared: c.Cleared, expires: expires}) || isChanged
+	}
+	if !isChanged {
 		return
 	}
-	ttl := min(max(s.TTL, 0), q.refusalPeriod)
-	q.table.Add(r, record{
-		crashes: s.Crashes, isolated: s.SoloCrashes, revision: s.Revision, expires: now.Add(ttl),
-		exempt: s.Crashes == 1 && s.SoloCrashes == 0 && q.completions.has(r),
+	q.setExemption(now, r, &rec)
+	q.table.Add(r, rec)
+}
+
+// setExemption exempts r from suspicion if its only crash happened beside other requests
+// and r has completed here before.
+func (q *Quarantine) setExemption(now time.Time, r Request, rec *record) {
+	crashes, isolated := rec.count(now)
+	rec.exempt = crashes == 1 && isolated == 0 && q.completions.has(r)
+}
+
+// add adds a crash, or what is new about a known one. It reports whether anything but the
+// time of expiry has changed.
+func (rec *record) add(c crash) bool {
+	i := slices.IndexFunc(rec.crashes, func(known crash) bool { return known.id == c.id })
+	if i < 0 {
+		if len(rec.crashes) >= maxCrashes {
+			rec.evict()
+		}
+		rec.crashes = append(rec.crashes, c)
+		return true
+	}
+	known := &rec.crashes[i]
+	before := *known
+	known.isolated, known.cleared = known.isolated || c.isolated, known.cleared || c.cleared
+	if c.expires.After(known.expires) {
+		known.expires = c.expires
+	}
+	return known.isolated != before.isolated || known.cleared != before.cleared
+}
+
+// evict removes the crash that expires first, a cleared one if there is any.
+func (rec *record) evict() {
+	least := slices.MinFunc(rec.crashes, func(a, b crash) int {
+		if a.cleared != b.cleared {
+			if a.cleared {
+				return -1
+			}
+			return 1
+		}
+		return a.expires.Compare(b.expires)
 	})
+	rec.crashes = slices.DeleteFunc(rec.crashes, func(c crash) bool { return c.id == least.id })
 }
 
 // DrainChanges appends the pending changes for other nodes to out and clears
@@ -198,46 +296,39 @@
 func (q *Quarantine) Len(now time.Time) int {
 	n := 0
 	for _, rec := range q.table.Values() {
-		if rec.crashes > 0 && !rec.exempt && now.Before(rec.expires) {
+		if crashes, _ := rec.count(now); crashes > 0 && !rec.exempt {
 			n++
 		}
 	}
 	return n
 }
 
-// refused reports whether the crashes of a request lead to its refusal.
-func (q *Quarantine) refused(rec record) bool {
-	return rec.crashes >= q.crashes && (q.noIsolation || rec.isolated > 0)
-}
-
-// lookup returns the record of r, or an empty one. An expired record keeps its
-// revision, so that the next change counts as newer.
+// lookup returns a copy of the record of r without expired crashes, or an empty one.
 func (q *Quarantine) lookup(now time.Time, r Request) record {
-	rec, ok := q.table.Peek(r)
-	if ok && !now.Before(rec.expires) {
-		return record{revision: rec.revision}
+	rec, _ := q.table.Peek(r)
+	rec.crashes = slices.DeleteFunc(slices.Clone(rec.crashes), func(c crash) bool { return !now.Before(c.expires) })
+	if !now.Before(rec.reportedUntil) {
+		rec.reported = 0
 	}
 	return rec
 }
 
-// update stores rec with the next revision and queues it for other nodes.
-func (q *Quarantine) update(now time.Time, r Request, rec record) {
-	rec.revision++
-	rec.expires = now.Add(q.refusalPeriod)
+// update stores rec and queues it for other nodes.
+func (q *Quarantine) update(r Request, rec record) {
 	q.table.Add(r, rec)
 	if len(q.pending) < q.tableSize {
 		q.pending = append(q.pending, r)
 	}
 }
 
-// suspicion returns the record of r as a message, if it has not expired.
+// suspicion returns the record of r as a message, if any of its crashes has not expired.
 func (q *Quarantine) suspicion(now time.Time, r Request) (message.Suspicion, bool) {
-	rec, ok := q.table.Peek(r)
-	if !ok || !now.Before(rec.expires) {
-		return message.Suspicion{}, false
+	s := message.Suspicion{Customer: r.Customer, Content: r.Content}
+	rec, _ := q.table.Peek(r)
+	for _, c := range rec.crashes {
+		if ttl := c.expires.Sub(now); ttl > 0 {
+			s.Crashes = append(s.Crashes, message.Crash{ID: c.id, Solo: c.isolated, Cleared: c.cleared, TTL: ttl})
+		}
 	}
-	return message.Suspicion{
-		Customer: r.Customer, Content: r.Content, Crashes: rec.crashes, SoloCrashes: rec.isolated,
-		Revision: rec.revision, TTL: rec.expires.Sub(now),
-	}, true
+	return s, len(s.Crashes) > 0
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -21,10 +21,10 @@
 func TestRefusedAfterThreeCrashes(t *testing.T) {
 	q := quarantine.New()
 	require.Equal(t, quarantine.Allow, q.Check(start, poison))
-	q.RecordCrash(start, []quarantine.Request{poison, other})
+	q.RecordCrash(start, 9, []quarantine.Request{poison, other})
 	require.Equal(t, quarantine.Isolate, q.Check(start, poison))
-	for range 2 {
-		q.RecordCrash(start, []quarantine.Request{poison})
+	for i := range 2 {
+		q.RecordCrash(start, uint64(i), []quarantine.Request{poison})
 	}
 	require.Equal(t, quarantine.Refuse, q.Check(start.Add(10*time.Minute-1), poison))
 	require.Equal(t, quarantine.Allow, q.Check(start.Add(10*time.Minute), poison))
@@ -35,8 +35,8 @@
 // another request.
 func TestInnocentRequestsAreCleared(t *testing.T) {
 	q := quarantine.New()
-	for range 5 {
-		q.RecordCrash(start, []quarantine.Request{poison, other})
+	for i := range 5 {
+		q.RecordCrash(start, uint64(i), []quarantine.Request{poison, other})
 	}
 	require.Equal(t, quarantine.Isolate, q.Check(start, other))
 	q.Complete(start, other)
@@ -48,10 +48,10 @@
 func TestCompletedRequestIsExemptOnce(t *testing.T) {
 	q := quarantine.New()
 	q.Complete(start, other)
-	q.RecordCrash(start, []quarantine.Request{poison, other})
+	q.RecordCrash(start, 1, []quarantine.Request{poison, other})
 	require.Equal(t, quarantine.Isolate, q.Check(start, poison))
 	require.Equal(t, quarantine.Allow, q.Check(start, other))
-	q.RecordCrash(start, []quarantine.Request{poison, other})
+	q.RecordCrash(start, 2, []quarantine.Request{poison, other})
 	require.Equal(t, quarantine.Isolate, q.Check(start, other))
 }
 
@@ -66,12 +66,12 @@
 // clearance that does not spread or is reverted by a delayed message.
 func TestSuspicionAndClearanceSpread(t *testing.T) {
 	a, b := quarantine.New(), quarantine.New()
-	a.RecordCrash(start, []quarantine.Request{poison, other})
+	a.RecordCrash(start, 1, []quarantine.Request{poison, other})
 	stale := a.Snapshot(start, nil)
 	gossip(a, b)
 	require.Equal(t, quarantine.Isolate, b.Check(start, poison))
-	b.RecordCrash(start, []quarantine.Request{poison})
-	b.RecordCrash(start, []quarantine.Request{poison})
+	b.RecordCrash(start, 2, []quarantine.Request{poison})
+	b.RecordCrash(start, 3, []quarantine.Request{poison})
 	b.Complete(start, other)
 	gossip(b, a)
 	require.Equal(t, quarantine.Refuse, a.Check(start, poison))
@@ -88,11 +88,11 @@
 // refused request that keeps arriving.
 func TestTableIsBounded(t *testing.T) {
 	q := quarantine.New(quarantine.WithTableSize(100))
-	for range 3 {
-		q.RecordCrash(start, []quarantine.Request{poison})
+	for i := range 3 {
+		q.RecordCrash(start, uint64(i), []quarantine.Request{poison})
 	}
 	for i := range 1000 {
-		q.RecordCrash(start, []quarantine.Request{other, {Customer: fmt.Sprint(i)}})
+		q.RecordCrash(start, uint64(i), []quarantine.Request{other, {Customer: fmt.Sprint(i)}})
 		q.Check(start, poison)
 	}
 	require.LessOrEqual(t, q.Len(start), 100)
@@ -103,9 +103,11 @@
 // Guards against a peer that extends a refusal beyond the refusal period.
 func TestMergeLimitsRefusalPeriod(t *testing.T) {
 	q := quarantine.New()
-	q.Merge(start, message.Suspicion{
-		Customer: poison.Customer, Content: poison.Content, Crashes: 9, SoloCrashes: 9, Revision: 9, TTL: 100 * time.Hour,
-	})
+	s := message.Suspicion{Customer: poison.Customer, Content: poison.Content}
+	for i := range uint64(9) {
+		s.Crashes = append(s.Crashes, message.Crash{ID: i, Solo: true, TTL: 100 * time.Hour})
+	}
+	q.Merge(start, s)
 	require.Equal(t, quarantine.Refuse, q.Check(start, poison))
 	require.Equal(t, quarantine.Allow, q.Check(start.Add(10*time.Minute), poison))
 }
@@ -115,7 +117,7 @@
 		b.Run(fmt.Sprint(size), func(b *testing.B) {
 			q := quarantine.New()
 			for i := range size {
-				q.RecordCrash(start, []quarantine.Request{{Customer: "brest", Content: uint64(i)}})
+				q.RecordCrash(start, uint64(i), []quarantine.Request{{Customer: "brest", Content: uint64(i)}})
 			}
 			b.ReportAllocs()
 			for b.Loop() {
@@ -135,7 +137,7 @@
 	culprit, innocent := quarantine.Request{Content: 1}, quarantine.Request{Content: 2}
 	for i := range 3 {
 		require.Equal(t, quarantine.Allow, q.Check(now, culprit), i)
-		q.RecordCrash(now, []quarantine.Request{culprit, innocent})
+		q.RecordCrash(now, uint64(i), []quarantine.Request{culprit, innocent})
 		q.Complete(now, innocent)
 	}
 	require.Equal(t, quarantine.Refuse, q.Check(now, culprit))
