Recognize crashes of servers without other traffic

Cause: a crash counted only if some request found the server's port closed within 2 s after an execution had broken off. Broken executions were kept by time and not by the start of the server, and those that the sender had withdrawn were not kept.

Change: pkg/crash keeps the executions that ended without a response by the start of their server, until an answer on a connection that is older shows that the server was still running. A crash is proved by a closed port, also one that a health check finds, or by the heartbeat of another start, unless the end was announced. 50 ms after a connection broke the node tries the port, if no other connection has outlived it, and keeps the new connection for the next request. The ID of a crash follows from the start of the server, so that several pieces of evidence make one.

--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -66,7 +66,7 @@
 		return
 	}
 	n.mu.Lock()
-	checkHealth := n.readiness.Observe(now, h) && !n.healthCheckRunning
+	checkHealth := n.observeHeartbeat(now, h) && !n.healthCheckRunning
 	if checkHealth {
 		n.healthCheckRunning = true
 	}
@@ -92,15 +92,18 @@
 // result.
 func (n *Node) checkHealth() {
 	var id string
-	healthy := false
+	var server readiness.Incarnation
+	healthy, closed := false, false
 	path := n.awaitHealthPath()
 	if path != "" {
 		n.mu.Lock()
 		n.intake.Take(time.Now())
+		server = n.readiness.Last().Incarnation
 		n.mu.Unlock()
 		err := upstream.CheckHealth(n.ctx, n.env.BackendAddr.String(), path, healthCheckTimeout, func(h *fasthttp.ResponseHeader) {
 			id, healthy = n.codec.InstanceID(h), h.StatusCode() == fasthttp.StatusOK
 		})
+		closed = isConnectionRefused(err)
 		if err != nil {
 			n.journal.WriteSampled(time.Now(), event.BackendRequestFailed, func() logrus.Fields {
 				return logrus.Fields{"request": "health check", "detail": err.Error()}
@@ -110,6 +113,9 @@
 	now := time.Now()
 	n.mu.Lock()
 	n.healthCheckRunning = false
+	if closed {
+		n.recordClosedPort(now, server)
+	}
 	n.readiness.RecordHealthCheck(id, healthy)
 	replies := n.applyReadiness(now, nil)
 	n.mu.Unlock()
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -265,8 +265,7 @@
 	}
 	n.recordExecutionEnd(now, ex, a)
 	if isConnectionRefused(a.Err) {
-		n.recordCrash(now)
-		n.readiness.ConnectionRefused(now)
+		n.recordClosedPort(now, ex.server)
 	}
 	replies = n.applyReadiness(now, replies)
 	runnable := n.dequeueRunnable(now)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -22,6 +22,7 @@
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/allowance"
 	"github.com/papayapath/papayapath/pkg/callgraph"
+	"github.com/papayapath/papayapath/pkg/crash"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/freshness"
 	"github.com/papayapath/papayapath/pkg/intake"
@@ -149,7 +150,9 @@
 	retryBudgets       map[string]*allowance.Allowance
 	sharing            *sharing // nil unless the settings call for it
 	quarantine         *quarantine.Quarantine
-	brokenExecutions   []brokenExecution
+	crashes            crash.Tracker
+	crashedServer      readiness.Incarnation // latest one whose crash was recorded
+	brokenAt           time.Time             // if a probe of the server is scheduled, when the latest connection broke
 	pending            map[uint64]*pending
 	executions         map[executionKey]*execution
 	transits           map[*peer.Link]*transit.Estimator // delays of the offers on inbound links
--- a/internal/sidecar/suspicions.go
+++ b/internal/sidecar/suspicions.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -13,57 +14,143 @@
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/quarantine"
+	"github.com/papayapath/papayapath/pkg/readiness"
 )
 
-const (
-	// crashWindow is the time before a backend server's port is found closed
-	// within which failed executions count as in flight at the crash.
-	crashWindow = 2 * time.Second
-	// maxBrokenExecutions bounds the failed executions kept for this purpose.
-	maxBrokenExecutions = 512
-)
-
-// brokenExecution is an execution that ended without a response.
-type brokenExecution struct {
-	request quarantine.Request
-	at      time.Time
-}
+// probeDelay is the time after a broken connection at which the other connections to the
+// backend server tell whether it has crashed. The end of a process closes all of them
+// within a millisecond.
+const probeDelay = 50 * time.Millisecond
 
 // quarantineRequest returns the quarantine key of an offer.
 func quarantineRequest(o *frame.Offer) quarantine.Request {
 	return quarantine.Request{Customer: o.Origin, Content: o.Content}
 }
 
-// recordExecutionEnd records whether an execution ended with a response.
+// recordExecutionEnd records whether an execution ended with a response. A connection that
+// breaks may be the first sign of a crash.
 func (n *Node) recordExecutionEnd(now time.Time, ex *execution, a *upstream.Answer) {
+	var invalid *upstream.ResponseError
 	switch {
 	case a.Err == nil && !a.NotRun:
+		n.crashes.Answer(a.Opened, ex.startedAt)
 		n.quarantine.Complete(now, quarantineRequest(&ex.offer))
-	case a.Sent && a.Err != nil && !ex.canceled && len(n.brokenExecutions) < maxBrokenExecutions:
-		n.brokenExecutions = append(n.brokenExecutions, brokenExecution{request: quarantineRequest(&ex.offer), at: now})
+	case !a.Sent || a.Err == nil || errors.As(a.Err, &invalid):
+	default:
+		n.crashes.Break(now, ex.server, quarantineRequest(&ex.offer))
+		if !ex.canceled {
+			n.scheduleProbe(now)
+		}
+	}
+}
+
+// scheduleProbe schedules a check whether the backend server has crashed, at probeDelay
+// after the latest broken connection.
+func (n *Node) scheduleProbe(now time.Time) {
+	isScheduled := !n.brokenAt.IsZero()
+	n.brokenAt = now
+	if !isScheduled {
+		time.AfterFunc(probeDelay, n.probeServer)
+	}
+}
+
+// probeServer checks whether the backend server has crashed, unless another connection has
+// outlived the broken one. Without other traffic nothing else would tell.
+func (n *Node) probeServer() {
+	now := time.Now()
+	n.mu.Lock()
+	brokenAt := n.brokenAt
+	if wait := brokenAt.Add(probeDelay).Sub(now); wait > 0 {
+		n.mu.Unlock()
+		time.AfterFunc(wait, n.probeServer)
+		return
+	}
+	n.brokenAt = time.Time{}
+	server, isUsed := n.readiness.Last().Incarnation, n.readiness.State() == readiness.Ready && !n.exitDecided
+	n.mu.Unlock()
+	if !isUsed || n.pool.HasOlder(brokenAt) {
+		return
+	}
+	if err := n.pool.Probe(now); isConnectionRefused(err) {
+		n.handleClosedPort(time.Now(), server)
+	}
+}
+
+// handleClosedPort handles the news that the port of the backend server is closed.
+func (n *Node) handleClosedPort(now time.Time, server readiness.Incarnation) {
+	n.mu.Lock()
+	n.recordClosedPort(now, server)
+	replies := n.applyReadiness(now, nil)
+	n.mu.Unlock()
+	n.reply(replies...)
+}
+
+// recordClosedPort records that the port of a backend server is closed. If a later one has
+// started since the port was tried, that one is not concerned. The caller must hold n.mu
+// and call applyReadiness.
+func (n *Node) recordClosedPort(now time.Time, server readiness.Incarnation) {
+	if n.readiness.Last().Incarnation != server {
+		return
 	}
+	if !n.hasAnnouncedEnd() {
+		n.recordCrash(now, server)
+	}
+	n.readiness.ConnectionRefused(now)
+}
+
+// hasAnnouncedEnd reports whether the newest backend server has announced its end.
+func (n *Node) hasAnnouncedEnd() bool {
+	last := n.readiness.Last().Incarnation
+	return n.readiness.State() == readiness.Draining || n.readiness.Leaving() == last
 }
 
-// recordCrash reports the requests that were in flight at a crash of the backend
-// server to the quarantine and broadcasts the resulting suspicions.
-func (n *Node) recordCrash(now time.Time) {
-	var inFlight []quarantine.Request
-	for _, b := range n.brokenExecutions {
-		if now.Sub(b.at) < crashWindow {
-			inFlight = append(inFlight, b.request)
+// observeHeartbeat records a heartbeat and reports whether the backend server needs a
+// health check. If a server has started anew without having announced the end of its
+// earlier start, that start has crashed.
+func (n *Node) observeHeartbeat(now time.Time, h readiness.Heartbeat) (confirm bool) {
+	earlier, announced := n.readiness.Last().Incarnation, n.hasAnnouncedEnd()
+	confirm = n.readiness.Observe(now, h)
+	switch {
+	case n.readiness.Last().Incarnation == earlier || earlier == readiness.Incarnation{}:
+	case announced:
+		n.crashes.Forget(earlier)
+	default:
+		n.recordCrash(now, earlier)
+	}
+	return confirm
+}
+
+// recordCrash reports the requests that were in flight at the crash of a backend server to
+// the quarantine and broadcasts the resulting suspicions. Several pieces of evidence may
+// tell of the same crash.
+func (n *Node) recordCrash(now time.Time, server readiness.Incarnation) {
+	inFlight := n.crashes.Crash(now, server)
+	for _, ex := range n.executions {
+		if ex.server == server && !ex.startedAt.IsZero() {
+			inFlight = append(inFlight, quarantineRequest(&ex.offer))
 		}
 	}
-	n.brokenExecutions = n.brokenExecutions[:0]
-	n.stats.crashes.Inc(1)
-	id := xxhash.Sum64String(fmt.Sprint(n.self.Node, n.started.UnixNano(), n.stats.crashes.Count()))
-	n.quarantine.RecordCrash(now, id, inFlight)
-	n.logCrash(now, inFlight)
+	isNew := n.crashedServer != server
+	if !isNew && len(inFlight) == 0 {
+		return
+	}
+	n.crashedServer = server
+	if isNew {
+		n.stats.crashes.Inc(1)
+	}
+	n.quarantine.RecordCrash(now, n.crashID(server), inFlight)
+	n.logCrash(now, server, inFlight)
 	n.broadcastSuspicions(now)
 }
 
+// crashID returns the ID of the crash of a backend server. A server crashes once.
+func (n *Node) crashID(server readiness.Incarnation) uint64 {
+	return xxhash.Sum64String(fmt.Sprint(n.self.Node, server.ID, server.Born))
+}
+
 // logCrash logs a crash of the backend server with the given requests in
 // flight.
-func (n *Node) logCrash(now time.Time, inFlight []quarantine.Request) {
+func (n *Node) logCrash(now time.Time, server readiness.Incarnation, inFlight []quarantine.Request) {
 	n.journal.WriteSampled(now, event.BackendCrashed, func() logrus.Fields {
 		refused := 0
 		for _, r := range inFlight {
@@ -71,7 +158,6 @@
 				refused++
 			}
 		}
-		server := n.readiness.Last()
 		return logrus.Fields{"server": server.ID, "born": server.Born, "requests": len(inFlight), "refused": refused}
 	})
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -33,6 +33,7 @@
 type conn struct {
 	pool     *Pool
 	net      net.Conn
+	openedAt time.Time
 	maxIdle  time.Duration
 	lastUsed time.Time // end of the last exchange; written while not idle
 
@@ -44,7 +45,7 @@
 }
 
 func newConn(p *Pool, opened net.Conn) *conn {
-	return &conn{pool: p, net: socket.Direct(opened), maxIdle: defaultMaxIdle}
+	return &conn{pool: p, net: socket.Direct(opened), openedAt: time.Now(), maxIdle: defaultMaxIdle}
 }
 
 // send writes a request. The reading goroutine completes the exchange.
@@ -227,7 +228,7 @@
 // caller gets. It reports whether the connection can be kept.
 func (c *conn) newAnswer(h *fasthttp.ResponseHeader, body *payload.Body) (a *Answer, keep bool) {
 	hc := c.pool.codec
-	a = &Answer{Status: h.StatusCode(), Sent: true, NotRun: hc.NotRun(h)}
+	a = &Answer{Status: h.StatusCode(), Sent: true, NotRun: hc.NotRun(h), Opened: c.openedAt}
 	switch {
 	case len(h.ContentEncoding()) > 0:
 		a.Err = &ResponseError{reason: "has an unsolicited content coding"}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -89,6 +89,7 @@
 	Sent   bool  // the server may have received a part of the request
 	Err    error // the response is missing or invalid
 	Notice notice.Notice
+	Opened time.Time // of a response, when its connection was opened
 }
 
 // errDial means that nothing was sent.
@@ -198,6 +199,30 @@
 	c.send(time.Now(), e)
 }
 
+// HasOlder reports whether a connection that was opened before t is open. The server ends
+// all of them when it crashes.
+func (p *Pool) HasOlder(t time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.all {
+		if c.openedAt.Before(t) {
+			return true
+		}
+	}
+	return false
+}
+
+// Probe opens a connection for later requests. The error tells whether the server's port
+// is closed.
+func (p *Pool) Probe(now time.Time) error {
+	opened, err := net.DialTimeout("tcp4", p.address, dialTimeout)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errDial, err)
+	}
+	p.register(opened).release(now)
+	return nil
+}
+
 // IsUnreachable reports whether a request failed because no connection to the
 // server could be established.
 func IsUnreachable(a *Answer) bool { return errors.Is(a.Err, errDial) }
