Count the crashes of a request over the instances of all services

What callers saw: a request that crashes servers crashed three for each service at whose instances it arrived, instead of three in all.

Cause: the key under which its crashes were counted included the service of the instance that took it.

Evidence: TestCrashesThroughSeveralServices fails before (the fourth attempt got 502, its server crashed).

Change: the key is the content of the request, which includes the customer in whose name it comes where there are customers.

--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -180,7 +180,7 @@
 	req.service = req.route.ChooseService()
 	req.routeKey = message.RouteOf(req.service, "", req.route.Name())
 	req.offer.Service, req.offer.Route = req.service, req.routeKey
-	if n.quarantine.Check(now, quarantine.Request{Customer: n.env.Service, Content: req.offer.Content}) == quarantine.Refuse {
+	if n.quarantine.Check(now, quarantineRequest(&req.offer)) == quarantine.Refuse {
 		return outcome.Suspect, nil
 	}
 	estimator := n.latencies[req.routeKey]
--- a/internal/sidecar/request.go
+++ b/internal/sidecar/request.go
@@ -102,11 +102,13 @@
 	root, _, _ := strings.Cut(id, ".")
 	method := r.Header.Method()
 	rank := priority.New(route.Level(), root)
+	var customerName string
 	head := n.codec.AppendRequestHead(make([]byte, 0, 256), r.Header, n.env.Service, from.hasKeys)
 	switch {
 	case from.customer != nil:
 		rank = rank.WithCustomer(from.customer.Level())
-		head = n.codec.AppendCustomer(head, from.customer.Name())
+		customerName = from.customer.Name()
+		head = n.codec.AppendCustomer(head, customerName)
 	case from.hasKeys:
 		rank = rank.WithCustomer(customer.DefaultLevel)
 	}
@@ -121,17 +123,17 @@
 		HasBody:    req.body.Len() > 0 || string(method) != fasthttp.MethodGet && string(method) != fasthttp.MethodHead,
 		HeadOnly:   r.Header.IsHead(),
 		Origin:     n.env.Service,
-		Content:    contentHash(r.Header, req.body),
+		Content:    contentHash(r.Header, customerName, req.body),
 		Head:       head,
 	}
 	return req
 }
 
-// contentHash hashes the host, method, URI and body of a request, so that
-// repeats under other request IDs can be recognized.
-func contentHash(h *fasthttp.RequestHeader, body *payload.Body) uint64 {
+// contentHash hashes the host, method, URI, customer and body of a request, so that
+// repeats under other request IDs and at other nodes can be recognized.
+func contentHash(h *fasthttp.RequestHeader, customerName string, body *payload.Body) uint64 {
 	hash := xxhash.New()
-	for _, field := range [...][]byte{h.Host(), h.Method(), h.RequestURI()} {
+	for _, field := range [...][]byte{h.Host(), h.Method(), h.RequestURI(), []byte(customerName)} {
 		hash.Write(field)     //nolint:errcheck // never fails
 		hash.Write([]byte{0}) //nolint:errcheck // never fails
 	}
--- a/internal/sidecar/suspicions.go
+++ b/internal/sidecar/suspicions.go
@@ -22,9 +22,10 @@
 // within a millisecond.
 const probeDelay = 50 * time.Millisecond
 
-// quarantineRequest returns the quarantine key of an offer.
+// quarantineRequest returns the quarantine key of an offer. The content includes the
+// customer, and the request is the same at the instances of all services.
 func quarantineRequest(o *frame.Offer) quarantine.Request {
-	return quarantine.Request{Customer: o.Origin, Content: o.Content}
+	return quarantine.Request{Content: o.Content}
 }
 
 // recordExecutionEnd records whether an execution ended with a response. A connection that
--- a/pkg/frame/frame.go
+++ b/pkg/frame/frame.go
@@ -80,7 +80,7 @@
 	HasBody    bool    // the request has a body, which may be empty
 	HeadOnly   bool    // the response has no body, whatever its header fields say
 	Origin     string  // service of the instance that received the request
-	Content    uint64  // hash of host, method, path and body
+	Content    uint64  // hash of host, method, path, customer and body
 	Head       []byte  // request line and header fields
 	Notice     *Notice // what the sender heard the server say of itself, if anything
 	// Repeat and Credit are zero unless the retry budget is spent at the servers.
