Keep the crashes of a request when a server fails it

What callers saw: a request that crashes servers was let through again after a server had failed it with an error, which clears its crashes.

Cause: each whole answer counted as a completion. A server that fails a part of its requests, or gives one up at its deadline, has not shown that the request is harmless.

Change: only answers below 500 clear crashes. The product's own nodes did the same (TestFailureClearsNoSuspect fails before).

--- a/internal/sidecar/suspicions.go
+++ b/internal/sidecar/suspicions.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
+	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/peer"
@@ -35,7 +36,9 @@
 	switch {
 	case a.Err == nil && !a.NotRun:
 		n.crashes.Answer(a.Opened, ex.startedAt)
-		n.quarantine.Complete(now, quarantineRequest(&ex.offer))
+		if a.Status < fasthttp.StatusInternalServerError {
+			n.quarantine.Complete(now, quarantineRequest(&ex.offer))
+		}
 	case !a.Sent || a.Err == nil || errors.As(a.Err, &invalid):
 	default:
 		n.crashes.Break(now, ex.server, quarantineRequest(&ex.offer))
--- a/pkg/acceptor/run.go
+++ b/pkg/acceptor/run.go
@@ -107,7 +107,9 @@
 	case answer.Outcome == outcome.Complete:
 		a.counters.completed++
 		a.routes.observe(now, e.route, now.Sub(e.started))
-		a.quarantine.Complete(now, e.request())
+		if answer.Status < statusServerError {
+			a.quarantine.Complete(now, e.request())
+		}
 	case answer.Reason == outcome.Crashed || answer.Reason == outcome.Broken:
 		a.casualties.add(now, e.request())
 	}
@@ -207,5 +209,10 @@
 	return limiter.Aborted
 }
 
-// statusUnavailable is the HTTP status by which a backend server sheds load.
-const statusUnavailable = 503
+const (
+	// statusServerError is the lowest HTTP status by which a backend server fails a
+	// request.
+	statusServerError = 500
+	// statusUnavailable is the HTTP status by which a backend server sheds load.
+	statusUnavailable = 503
+)
--- a/pkg/acceptor/suspect_test.go
+++ b/pkg/acceptor/suspect_test.go
@@ -70,6 +70,22 @@
 	require.Equal(t, 1, q.Len(start))
 }
 
+// Guards against a failure of the server that clears a suspect: it may fail a request
+// before it does what crashes it.
+func TestFailureClearsNoSuspect(t *testing.T) {
+	q := quarantine.New()
+	q.RecordCrash(start, 1, []quarantine.Request{{Customer: "quimper", Content: poison}})
+	a := announced(acceptor.WithQuarantine(q))
+	a.Offer(start, peer, offerOf(poison, importance.Normal), nil)
+	failed := complete
+	failed.Status = 500
+	a.Done(start, call(poison), 1, failed, nil)
+	require.Equal(t, 1, q.Len(start))
+	a.Offer(start, peer, offerOf(poison, importance.Normal), nil)
+	a.Done(start, call(poison), 1, complete, nil)
+	require.Zero(t, q.Len(start))
+}
+
 // Guards against a suspect that takes others down with it, or that keeps a
 // server from its work.
 func TestSuspectRunsAlone(t *testing.T) {
