Serve frequent requests when all servers of a service crash at once

Cause: without isolation, only a completion after the crash told a harmless request from the culprit. One before it counted for nothing.

Evidence: TestFrequentRequestAtCrashesOfAllServers fails before (refused).

Change: a crash beside other requests does not count for a request that has completed at the node since its last crash there. One that has become faulty is exempt once at each node.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -94,7 +94,8 @@
 
 // WithoutIsolation lets suspects run beside other requests. A request is refused
 // after the threshold of crashes without a completion in between. A harmless
-// request that was in flight by chance completes elsewhere and is cleared.
+// request that was in flight by chance completes elsewhere and is cleared, or has
+// completed at the node before the crash.
 func WithoutIsolation() Option { return func(q *Quarantine) { q.noIsolation = true } }
 
 // New returns a quarantine without suspects. It panics if the table size is
@@ -164,6 +165,9 @@
 // suspect adds a crash to the record of r.
 func (q *Quarantine) suspect(now time.Time, r Request, c crash) {
 	rec := q.lookup(now, r)
+	// A frequent request is in flight at most crashes. Without isolation, only completions
+	// tell it from the culprit.
+	c.cleared = q.noIsolation && !c.isolated && q.completions.has(r)
 	if !rec.add(c) {
 		return
 	}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -149,3 +149,23 @@
 	require.Equal(t, quarantine.Refuse, other.Check(now, culprit))
 	require.Equal(t, quarantine.Allow, other.Check(now, innocent))
 }
+
+// Guards against refusing a frequent request that was in flight when the servers of
+// several nodes crashed at once, since nothing is left on which it could complete.
+func TestFrequentRequestAtCrashesOfAllServers(t *testing.T) {
+	target := quarantine.New(quarantine.WithoutIsolation())
+	for id := range uint64(4) {
+		n := quarantine.New(quarantine.WithoutIsolation())
+		n.Complete(start, other)
+		n.RecordCrash(start, id, []quarantine.Request{poison, other})
+		gossip(n, target)
+	}
+	require.Equal(t, quarantine.Refuse, target.Check(start, poison))
+	require.Equal(t, quarantine.Allow, target.Check(start, other))
+	n := quarantine.New(quarantine.WithoutIsolation())
+	n.Complete(start, poison)
+	for id := range uint64(4) {
+		n.RecordCrash(start, 10+id, []quarantine.Request{poison, other})
+	}
+	require.Equal(t, quarantine.Refuse, n.Check(start, poison), "exempt once")
+}
