Repeat suspicions that other nodes may have missed

What callers saw: a node that had missed the message of a crash, because it was dropped for lack of memory or because it had no link to the sender at that moment, went on running a request that the others refused.

Cause: a change of a record was sent once, to the nodes linked at that moment, and by the node that recorded it only. Unlike entries and versions, records are not compared by digests.

Evidence: TestLostSuspicionsAreRepeated fails without the repeats.

Change: a node sends the record of a request with two crashes or more again after each change, 16 times, to one random node a second, also if it heard of the change from another one.

--- a/internal/sidecar/membership.go
+++ b/internal/sidecar/membership.go
@@ -456,9 +456,14 @@
 			n.readiness.Tick(now)
 			replies := n.applyReadiness(now, nil)
 			n.broadcastSuspicions(now)
+			repeated := n.quarantine.Repeat(now, nil)
 			n.mu.Unlock()
 			n.reply(replies...)
-			peer.Send(links[rand.IntN(len(links))], frame.KindDigest, d, nil)
+			partner := links[rand.IntN(len(links))]
+			peer.Send(partner, frame.KindDigest, d, nil)
+			if len(repeated) > 0 {
+				peer.Send(partner, frame.KindSuspicions, frame.Suspicions{Suspicions: repeated}, nil)
+			}
 		}
 	}
 }
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -20,6 +20,12 @@
 	// maxCrashes bounds the crashes that are kept of one request. A request that completes
 	// between crashes may be in flight at many.
 	maxCrashes = 16
+	// repeats is how often the record of a request with several crashes is sent again after
+	// a change. If each node sends it to a random one as often, a node misses all of them
+	// with a probability of about exp(-16).
+	repeats = 16
+	// maxRepeated bounds the records that are sent again at once.
+	maxRepeated = 64
 	// defaultRefusalPeriod is the time for which a request is refused.
 	defaultRefusalPeriod = 10 * time.Minute
 	// panicTableSize is the panic message for an invalid table size.
@@ -57,6 +63,7 @@
 	table         *simplelru.LRU[Request, record]
 	completions   completions
 	pending       []Request // changed records to send to other nodes
+	repeated      []Request // records to send again
 	tableSize     int
 	crashes       int // threshold from which a request is refused
 	refusalPeriod time.Duration
@@ -70,6 +77,7 @@
 	exempt        bool // not suspected: the only crash followed a recent completion
 	reported      int  // least number of crashes, as reported by a sender of the request
 	reportedUntil time.Time
+	repeats       int // times to send it again
 }
 
 // crash is a crash of a backend server with the request in flight.
@@ -229,6 +237,7 @@
 		return
 	}
 	q.setExemption(now, r, &rec)
+	q.repeat(r, &rec)
 	q.table.Add(r, rec)
 }
 
@@ -285,6 +294,46 @@
 	return out
 }
 
+// repeat schedules a changed record to be sent again.
+func (q *Quarantine) repeat(r Request, rec *record) {
+	if rec.repeats == 0 && len(q.repeated) < q.tableSize {
+		q.repeated = append(q.repeated, r)
+	}
+	rec.repeats = repeats
+}
+
+// Repeat appends records to out that other nodes may have missed. The caller sends them to
+// one other node, a random one each time.
+func (q *Quarantine) Repeat(now time.Time, out []message.Suspicion) []message.Suspicion {
+	due := q.repeated
+	q.repeated = nil
+	for i, r := range due {
+		if i >= maxRepeated {
+			q.repeated = append(q.repeated, due[i:]...)
+			break
+		}
+		rec, ok := q.table.Peek(r)
+		if !ok {
+			continue
+		}
+		// A single crash leads to nothing yet, and may be that of another request.
+		if crashes, _ := rec.count(now); crashes < q.crashes-1 {
+			rec.repeats = 0
+		}
+		if rec.repeats > 0 {
+			rec.repeats--
+			if s, ok := q.suspicion(now, r); ok {
+				out = append(out, s)
+			}
+		}
+		if rec.repeats > 0 {
+			q.repeated = append(q.repeated, r)
+		}
+		q.table.Add(r, rec)
+	}
+	return out
+}
+
 // Snapshot appends all unexpired records to out, for a node that has just
 // joined.
 func (q *Quarantine) Snapshot(now time.Time, out []message.Suspicion) []message.Suspicion {
@@ -319,6 +368,7 @@
 
 // update stores rec and queues it for other nodes.
 func (q *Quarantine) update(r Request, rec record) {
+	q.repeat(r, &rec)
 	q.table.Add(r, rec)
 	if len(q.pending) < q.tableSize {
 		q.pending = append(q.pending, r)
--- a/pkg/quarantine/schedule_test.go
+++ b/pkg/quarantine/schedule_test.go
@@ -249,3 +249,44 @@
 	}
 	require.Equal(t, quarantine.Refuse, q.Check(start, poison))
 }
+
+// Guards against a node that goes on running a culprit because the messages to it were
+// lost, or because it has no link to the nodes whose servers crashed.
+func TestLostSuspicionsAreRepeated(t *testing.T) {
+	const nodes, rounds, seeds = 13, 30, 200
+	for seed := range uint64(seeds) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		all := make([]*quarantine.Quarantine, nodes)
+		for i := range all {
+			all[i] = quarantine.New(quarantine.WithoutIsolation())
+		}
+		for id := range 3 {
+			all[id].RecordCrash(start, uint64(id), []quarantine.Request{poison})
+			for _, s := range all[id].DrainChanges(start, nil) {
+				all[nodes/2].Merge(start, s) // the only one that hears of them at once
+			}
+		}
+		for range rounds {
+			for i, q := range all {
+				partner := random.IntN(nodes)
+				if linked := i > 2 || partner > 2; !linked || partner == i {
+					continue
+				}
+				for _, s := range q.Repeat(start, nil) {
+					all[partner].Merge(start, s)
+				}
+			}
+		}
+		for i, q := range all {
+			require.Equal(t, quarantine.Refuse, q.Check(start, poison), "seed %d, node %d", seed, i)
+		}
+		for range 100 * rounds {
+			for _, q := range all {
+				q.Repeat(start, nil)
+			}
+		}
+		for _, q := range all {
+			require.Empty(t, q.Repeat(start, nil), "repeats end")
+		}
+	}
+}
