Replace failures of servers that callers take for the promise of "not run"

After a 421 of the expected instance the node itself sent the request to a second server.

Cause: each whole answer was passed on as it was, and a status 421 alone counted as proof that the request was not run. What a response proves was decided in several places, by the status at most of them.

TestFailureIsNoPromise fails before for 408, 429 and 503 (passed on) and for both kinds of 421 (503 of the node's own); TestFailureOfRepeatableRequest fails before.

Change: pkg/proof decides it, as a table. A request was not run if the server says so, or names another instance than the expected one. Otherwise it was run, and a status of 500 and above, 408, 421 or 429 is a failure: a repeatable request goes to another server within the budget, and the last answer passes unchanged; for any other the caller gets 502 without the server's seal. These failures count as such where only 500 did: in the times of servers, in what a service is taken to serve, and for suspects.

--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/peer"
@@ -15,6 +14,7 @@
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/payload"
+	"github.com/papayapath/papayapath/pkg/proof"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 	"github.com/papayapath/papayapath/pkg/runner"
@@ -214,7 +214,7 @@
 		data, body = body.AppendTo(data), nil
 	}
 	e := n.pool.Start(now, &upstream.Request{
-		ID: ex.offer.Request, Raw: data, Body: body, Timeout: timeout, HeadOnly: ex.offer.HeadOnly,
+		ID: ex.offer.Request, Raw: data, Body: body, Timeout: timeout, HeadOnly: ex.offer.HeadOnly, Instance: ex.server.ID,
 	}, func(a *upstream.Answer) { n.endExecution(ex, a) })
 	n.mu.Lock()
 	ex.exchange = e
@@ -238,7 +238,7 @@
 	now := time.Now()
 	n.mu.Lock()
 	n.runner.Done(now, &ex.ticket, a.Err == nil && !a.NotRun)
-	n.placement.end(now, ex, a.Err == nil && !a.NotRun && a.Status < fasthttp.StatusInternalServerError)
+	n.placement.end(now, ex, a.Err == nil && !a.NotRun && !proof.New(a.Status).IsFailure())
 	if n.runningByRequest[ex.offer.Request] == ex {
 		delete(n.runningByRequest, ex.offer.Request)
 	}
--- a/internal/sidecar/handler.go
+++ b/internal/sidecar/handler.go
@@ -15,6 +15,7 @@
 	"github.com/papayapath/papayapath/pkg/importance"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/proof"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/routing"
 	"github.com/papayapath/papayapath/pkg/window"
@@ -85,7 +86,7 @@
 	}
 	reply := n.dispatch(req)
 	n.recordEnd(req)
-	n.recordService(req, reply.Status < fasthttp.StatusInternalServerError)
+	n.recordService(req, !proof.New(reply.Status).IsFailure())
 	return reply
 }
 
--- a/internal/sidecar/offer.go
+++ b/internal/sidecar/offer.go
@@ -15,6 +15,7 @@
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/payload"
+	"github.com/papayapath/papayapath/pkg/proof"
 	"github.com/papayapath/papayapath/pkg/roster"
 )
 
@@ -236,7 +237,7 @@
 		req.serverAttempts++
 	}
 	req.resends.record(r.pending.node, a)
-	failed := a.Outcome == outcome.Complete && (a.Status == fasthttp.StatusInternalServerError || n.endedEarly(now, req, a))
+	failed := a.Outcome == outcome.Complete && n.hasFailed(now, req, a)
 	if failed || a.Sent && a.Outcome == outcome.Unknown {
 		decider := "answer"
 		if r.linkLost {
@@ -264,18 +265,25 @@
 			return ingress.Response{}, false
 		}
 	}
-	if failed {
+	if failed && proof.New(a.Status).MayReach(req.route.Repeatable()) {
 		return ingress.Response{Status: a.Status, Head: a.Head, Body: r.body}, true
 	}
+	r.body.Release()
 	return n.endUnanswered(req, reason), true
 }
 
+// hasFailed reports whether a server has run a request and failed, so that another one may
+// serve it. One that gave it up at its deadline has not, unless that was too early.
+func (n *Node) hasFailed(now time.Time, req *request, a *frame.Answer) bool {
+	if a.Status == fasthttp.StatusGatewayTimeout {
+		return n.endedEarly(now, req)
+	}
+	return proof.New(a.Status).IsFailure()
+}
+
 // endedEarly reports whether a server gave up a request at its deadline though there is
 // time for another answer, as a server does whose node is stopping.
-func (n *Node) endedEarly(now time.Time, req *request, a *frame.Answer) bool {
-	if a.Status != fasthttp.StatusGatewayTimeout {
-		return false
-	}
+func (n *Node) endedEarly(now time.Time, req *request) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.boundBeforeExit(req.deadline).Sub(now) > minAnswerTime
--- a/internal/sidecar/placement.go
+++ b/internal/sidecar/placement.go
@@ -6,12 +6,12 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/proof"
 	"github.com/papayapath/papayapath/pkg/roster"
 	"github.com/papayapath/papayapath/pkg/servicetime"
 	"github.com/papayapath/papayapath/pkg/workload"
@@ -136,7 +136,7 @@
 		o = roster.Outlook{Wait: a.Outlook.Wait, ServiceTime: a.Outlook.ServiceTime, Slowdown: float64(a.Outlook.Slowdown)}
 	}
 	var latency time.Duration
-	if a.Outcome == outcome.Complete && a.Status < fasthttp.StatusInternalServerError {
+	if a.Outcome == outcome.Complete && !proof.New(a.Status).IsFailure() {
 		latency = now.Sub(p.sentAt) - a.QueueDelay
 	}
 	n.roster.RecordOutlook(now, p.node, p.request.routeKey, o, latency)
--- a/internal/sidecar/sharing.go
+++ b/internal/sidecar/sharing.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/boottime"
 	"github.com/papayapath/papayapath/internal/environment"
@@ -16,6 +15,7 @@
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
 	"github.com/papayapath/papayapath/pkg/outcome"
+	"github.com/papayapath/papayapath/pkg/proof"
 	"github.com/papayapath/papayapath/pkg/retryshare"
 	"github.com/papayapath/papayapath/pkg/shedding"
 )
@@ -400,7 +400,7 @@
 	}
 	for _, c := range n.fanouts[p.request.routeKey] {
 		// A run that failed, or seldom calls the service, may not have called it.
-		hasCalled := a.Outcome == outcome.Complete && a.Status < fasthttp.StatusInternalServerError && c.Calls >= 1
+		hasCalled := a.Outcome == outcome.Complete && !proof.New(a.Status).IsFailure() && c.Calls >= 1
 		if v := rate(c.Service); c.Service != service && (v > 0 || hasCalled) {
 			n.sharing.gate.Learn(now, c.Service, v)
 			n.logShedding(now, c.Service)
--- a/internal/sidecar/suspicions.go
+++ b/internal/sidecar/suspicions.go
@@ -7,13 +7,13 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
-	"github.com/valyala/fasthttp"
 
 	"github.com/papayapath/papayapath/internal/event"
 	"github.com/papayapath/papayapath/internal/peer"
 	"github.com/papayapath/papayapath/internal/upstream"
 	"github.com/papayapath/papayapath/pkg/frame"
 	"github.com/papayapath/papayapath/pkg/message"
+	"github.com/papayapath/papayapath/pkg/proof"
 	"github.com/papayapath/papayapath/pkg/quarantine"
 	"github.com/papayapath/papayapath/pkg/readiness"
 )
@@ -36,7 +36,7 @@
 	switch {
 	case a.Err == nil && !a.NotRun:
 		n.crashes.Answer(a.Opened, ex.startedAt)
-		if a.Status < fasthttp.StatusInternalServerError {
+		if !proof.New(a.Status).IsFailure() {
 			n.quarantine.Complete(now, quarantineRequest(&ex.offer))
 		}
 	case !a.Sent || a.Err == nil || errors.As(a.Err, &invalid):
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,7 +14,9 @@
 	"github.com/papayapath/papayapath/internal/framing"
 	"github.com/papayapath/papayapath/internal/socket"
 	"github.com/papayapath/papayapath/pkg/memory"
+	"github.com/papayapath/papayapath/pkg/outcome"
 	"github.com/papayapath/papayapath/pkg/payload"
+	"github.com/papayapath/papayapath/pkg/proof"
 )
 
 const (
@@ -217,7 +219,7 @@
 			return &Answer{Sent: true, Err: err}, false
 		}
 		if c.pool.codec.Matches(h, e.request.ID) {
-			return c.newAnswer(h, body)
+			return c.newAnswer(h, body, e.request.Instance)
 		}
 		body.Release()
 	}
@@ -226,13 +228,18 @@
 
 // newAnswer validates a complete response and copies the header fields that the
 // caller gets. It reports whether the connection can be kept.
-func (c *conn) newAnswer(h *fasthttp.ResponseHeader, body *payload.Body) (a *Answer, keep bool) {
+func (c *conn) newAnswer(h *fasthttp.ResponseHeader, body *payload.Body, instance string) (a *Answer, keep bool) {
 	hc := c.pool.codec
-	a = &Answer{Status: h.StatusCode(), Sent: true, NotRun: hc.NotRun(h), Opened: c.openedAt}
+	response := proof.New(h.StatusCode()).WithInstances(instance, hc.InstanceID(h))
+	if hc.NotRun(h) {
+		response = response.WithRefusal()
+	}
+	proved := response.Outcome()
+	a = &Answer{Status: h.StatusCode(), Sent: true, NotRun: proved == outcome.NotRun, Opened: c.openedAt}
 	switch {
 	case len(h.ContentEncoding()) > 0:
 		a.Err = &ResponseError{reason: "has an unsolicited content coding"}
-	case a.NotRun && a.Status < fasthttp.StatusBadRequest:
+	case proved == outcome.Unknown:
 		a.Err = &ResponseError{reason: "is no error, but says that the request was not run"}
 	case a.Status/100 == 2 && !hc.IsSigned(h):
 		a.Err = &ResponseError{reason: "has no signature"}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -49,6 +49,8 @@
 	Matches(h *fasthttp.ResponseHeader, id string) bool
 	// NotRun reports whether the server states that it did not run the request.
 	NotRun(h *fasthttp.ResponseHeader) bool
+	// InstanceID returns the instance that the response names, if any.
+	InstanceID(h *fasthttp.ResponseHeader) string
 	// IsSigned reports whether a response has the server's signature.
 	IsSigned(h *fasthttp.ResponseHeader) bool
 	// Notice returns what the server says of itself.
@@ -64,6 +66,7 @@
 	Body     *payload.Body // what follows Raw
 	Timeout  time.Duration // for the response
 	HeadOnly bool          // the response has no body
+	Instance string        // that has to run it; empty for any
 }
 
 // size returns the size of the request in bytes.
@@ -85,7 +88,7 @@
 	Status int
 	Head   []byte // header fields for the caller
 	Body   *payload.Body
-	NotRun bool  // the server states, or it is certain, that the request was not run
+	NotRun bool  // the server proves, or it is certain, that the request was not run
 	Sent   bool  // the server may have received a part of the request
 	Err    error // the response is missing or invalid
 	Notice notice.Notice
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -34,6 +34,8 @@
 
 func (codec) NotRun(h *fasthttp.ResponseHeader) bool { return len(h.Peek("Not-Run")) > 0 }
 
+func (codec) InstanceID(h *fasthttp.ResponseHeader) string { return string(h.Peek("Instance")) }
+
 func (codec) IsSigned(h *fasthttp.ResponseHeader) bool { return len(h.Peek("Seal")) > 0 }
 
 func (codec) Notice(*fasthttp.ResponseHeader) notice.Notice { return notice.Notice{} }
