--- a/internal/sidecar/backend.go
+++ b/internal/sidecar/backend.go
@@ -92,18 +92,15 @@
 // result.
 func (n *Node) checkHealth() {
 	var id string
-	var server readiness.Incarnation
-	healthy, closed := false, false
+	healthy := false
 	path := n.awaitHealthPath()
 	if path != "" {
 		n.mu.Lock()
 		n.intake.Take(time.Now())
-		server = n.readiness.Last().Incarnation
 		n.mu.Unlock()
 		err := upstream.CheckHealth(n.ctx, n.env.BackendAddr.String(), path, healthCheckTimeout, func(h *fasthttp.ResponseHeader) {
 			id, healthy = n.codec.InstanceID(h), h.StatusCode() == fasthttp.StatusOK
 		})
-		closed = isConnectionRefused(err)
 		if err != nil {
 			n.journal.WriteSampled(time.Now(), event.BackendRequestFailed, func() logrus.Fields {
 				return logrus.Fields{"request": "health check", "detail": err.Error()}
@@ -113,9 +110,6 @@
 	now := time.Now()
 	n.mu.Lock()
 	n.healthCheckRunning = false
-	if closed {
-		n.recordClosedPort(now, server)
-	}
 	n.readiness.RecordHealthCheck(id, healthy)
 	replies := n.applyReadiness(now, nil)
 	n.mu.Unlock()
