Let suspects with one crash take no place among the repeats

A crash of a busy server leaves hundreds of records with one crash, which are not sent again, but each took one of the 64 places a second. The record of a culprit behind them waited for some seconds.

--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -305,10 +305,10 @@
 // Repeat appends records to out that other nodes may have missed. The caller sends them to
 // one other node, a random one each time.
 func (q *Quarantine) Repeat(now time.Time, out []message.Suspicion) []message.Suspicion {
-	due := q.repeated
+	due, first := q.repeated, len(out)
 	q.repeated = nil
 	for i, r := range due {
-		if i >= maxRepeated {
+		if len(out)-first >= maxRepeated {
 			q.repeated = append(q.repeated, due[i:]...)
 			break
 		}
