Start what leaves the queue before replies are written

Cause: the node took requests out of the queue, then wrote the answer of the run that had ended, and then sent the requests to the server. The write waits for up to 3 s if the other node does not read.

TestQueuedOfferRunsBesideSlowLink fails before (not sent within 1 s).

Change: at all four places the requests are sent first, then the replies.

--- a/internal/sidecar/confirmation.go
+++ b/internal/sidecar/confirmation.go
@@ -81,8 +81,8 @@
 		}
 	}
 	n.mu.Unlock()
-	n.reply(replies...)
 	for _, ex := range started {
 		n.startExecution(now, ex)
 	}
+	n.reply(replies...)
 }
--- a/internal/sidecar/execution.go
+++ b/internal/sidecar/execution.go
@@ -86,13 +86,13 @@
 		replies = []reply{n.refuseOffer(now, ex, outcome.Overload)}
 	}
 	n.mu.Unlock()
+	if isStarted {
+		n.startExecution(now, ex)
+	}
 	n.reply(replies...)
 	if mustAsk {
 		requestPong(from)
 	}
-	if isStarted {
-		n.startExecution(now, ex)
-	}
 }
 
 // placeOffer starts, queues or refuses an offer. It returns the answers to refused
@@ -181,7 +181,9 @@
 	errUnfunded  = errors.New("sidecar: retry budget used up")
 )
 
-// startExecution sends a request to the local backend server.
+// startExecution sends a request to the local backend server. It comes before the replies
+// that the same decision has brought about: a link may be slow, and the server may have
+// announced its end by the time they are written.
 func (n *Node) startExecution(now time.Time, ex *execution) {
 	remaining := ex.ticket.Expires.Sub(now)
 	timeout := remaining
@@ -270,10 +272,10 @@
 	replies = n.applyReadiness(now, replies)
 	runnable := n.dequeueRunnable(now)
 	n.mu.Unlock()
-	n.reply(replies...)
 	for _, queued := range runnable {
 		n.startExecution(now, queued)
 	}
+	n.reply(replies...)
 }
 
 // isConnectionRefused reports whether the backend server's port has no listener.
--- a/internal/sidecar/queue.go
+++ b/internal/sidecar/queue.go
@@ -66,8 +66,8 @@
 		n.scheduleExpiry(now)
 	}
 	n.mu.Unlock()
-	n.reply(replies...)
 	for _, queued := range runnable {
 		n.startExecution(now, queued)
 	}
+	n.reply(replies...)
 }
