Apply the grace period of reloaded settings

Cause: a reload put only the address of the platform log in force. A stop was planned with the grace period of the start of the process.

TestGracePeriodOfReloadedSettings fails before (502 in place of 200).

Change: a reload sets the grace period too, for the next signal to stop. A node that is stopping keeps the one it had at the signal. A shortened one is applied in the same way.

--- a/cmd/sidecar/node.go
+++ b/cmd/sidecar/node.go
@@ -134,7 +134,8 @@
 		r.journal.Write(event.SettingsRejected, logrus.Fields{"detail": err.Error()})
 		return
 	}
-	r.journal.Write(event.SettingsReloaded, logrus.Fields{"cause": cause, "log": next.LogAddr.String()})
+	r.journal.Write(event.SettingsReloaded, logrus.Fields{"cause": cause, "log": next.LogAddr.String(), "grace_ms": next.GracePeriod.Milliseconds()})
+	r.node.SetGracePeriod(next.GracePeriod)
 	if next.LogAddr != r.env.LogAddr {
 		r.node.SetLog(platform.NewLog(next, r.node.Budget()))
 	}
--- a/internal/sidecar/lifecycle.go
+++ b/internal/sidecar/lifecycle.go
@@ -57,7 +57,7 @@
 // it, for as long as its grace period lasts. The error is errStopped if stop is closed
 // meanwhile.
 func (n *Node) awaitAddress(ctx context.Context, stop <-chan struct{}, address string, detectDeadPeers bool) (net.Listener, error) {
-	limit := n.started.Add(n.env.GracePeriod + restartSlack)
+	limit := n.started.Add(n.grace() + restartSlack)
 	for isLogged := false; ; isLogged = true {
 		ln, err := socket.Listen(ctx, address, detectDeadPeers)
 		now := time.Now()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -111,6 +111,7 @@
 	ctx          context.Context
 	started      time.Time // origin of the clock readings in offers
 	log          atomic.Pointer[CompactedLog]
+	gracePeriod  atomic.Int64 // nanoseconds between the signal to stop and the end of the process
 	table        atomic.Pointer[routing.Table]
 	offerCount   atomic.Uint64 // number of offers sent, and ID of the latest
 	rewriteEntry atomic.Bool   // the platform log may have lost the local entry
@@ -221,6 +222,7 @@
 	}
 	n.runner = runner.New[*execution](options...)
 	n.log.Store(&log)
+	n.gracePeriod.Store(int64(env.GracePeriod))
 	n.mesh = peer.NewMesh(n, peer.WithBudget(b))
 	n.clients = ingress.New(n, ingress.WithBudget(b))
 	n.pool = upstream.New(env.BackendAddr.String(), headerCodec, maxResponseBody, upstream.WithBudget(b))
@@ -251,6 +253,13 @@
 // Budget returns the memory budget of the node.
 func (n *Node) Budget() *memory.Budget { return n.budget }
 
+// SetGracePeriod sets the time between the signal to stop and the end of the process. A
+// node that is stopping keeps the one that it had at the signal.
+func (n *Node) SetGracePeriod(d time.Duration) { n.gracePeriod.Store(int64(d)) }
+
+// grace returns the time between the signal to stop and the end of the process.
+func (n *Node) grace() time.Duration { return time.Duration(n.gracePeriod.Load()) }
+
 // SetLog replaces the client of the platform log.
 func (n *Node) SetLog(l CompactedLog) { n.log.Store(&l) }
 
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -54,16 +54,16 @@
 // backend servers needs its capacity, and the open requests themselves may depend
 // on it.
 func (n *Node) drain() {
-	start := time.Now()
+	start, grace := time.Now(), n.grace()
 	n.mu.Lock()
 	n.stopping, n.stoppedAt = true, start
 	n.admissionEnd = start.Add(clientDrainTime)
-	exitDeadline := start.Add(n.env.GracePeriod - exitMargin)
+	exitDeadline := start.Add(grace - exitMargin)
 	n.exitDeadline = exitDeadline
 	n.self.Ending = true
 	n.announceEntry(start)
 	n.mu.Unlock()
-	n.journal.Write(event.NodeStopping, logrus.Fields{"grace_ms": n.env.GracePeriod.Milliseconds(), "requests": n.clients.ActiveRequests()})
+	n.journal.Write(event.NodeStopping, logrus.Fields{"grace_ms": grace.Milliseconds(), "requests": n.clients.ActiveRequests()})
 	n.clients.DisableKeepAlives()
 	if n.limiterRuns.Load() {
 		n.limiter.Stop()
--- a/internal/sidecar/withdrawal.go
+++ b/internal/sidecar/withdrawal.go
@@ -43,7 +43,7 @@
 // restarted. A caller that stays can then rely on the answer of a server that is at work.
 func (n *Node) withdrawCall(now time.Time, req *request) (ingress.Response, bool) {
 	n.mu.Lock()
-	restarts := n.stopping || n.replacesStopped && now.Sub(n.started) < n.env.GracePeriod+restartSlack
+	restarts := n.stopping || n.replacesStopped && now.Sub(n.started) < n.grace()+restartSlack
 	n.mu.Unlock()
 	if len(req.openOffers) > 0 && (restarts || !req.route.Repeatable()) {
 		return ingress.Response{}, false
