Apply the limits in force when a request arrives

Cause: the limits were read before the wait for the first byte of a request.

TestLimitsOfIdleConnections fails before (413 in place of 200, on a connection that has had no request yet).

Change: they are read when the first byte has arrived.

--- a/internal/ingress/client.go
+++ b/internal/ingress/client.go
@@ -87,9 +87,8 @@
 // serveRequest handles one request and reports whether the connection stays
 // open for another.
 func (c *client) serveRequest() bool {
-	limits := c.server.handler.Limits()
 	if c.reader.Buffered() == 0 {
-		if !c.extendReadDeadline(time.Now(), limits.IdleTimeout) {
+		if !c.extendReadDeadline(time.Now(), c.server.handler.Limits().IdleTimeout) {
 			return false
 		}
 		if _, err := c.reader.Peek(1); err != nil {
@@ -99,7 +98,8 @@
 	if !c.begin() {
 		return false
 	}
-	receivedAt := time.Now()
+	// The configuration may have changed while the connection was idle.
+	receivedAt, limits := time.Now(), c.server.handler.Limits()
 	req := fasthttp.AcquireRequest()
 	body, err := fault.Call(func() (*payload.Body, error) { return c.receive(req, receivedAt, &limits) })
 	if err != nil {
