--- a/pkg/readiness/readiness.go
+++ b/pkg/readiness/readiness.go
@@ -91,7 +91,8 @@
 	case h.Incarnation == t.leaving, h.ID == t.deregistered.ID && h.Born <= t.deregistered.Born:
 		return !h.Draining
 	case h.Incarnation == t.last.Incarnation:
-		return h.Sequence <= t.last.Sequence
+		// A server that drains does not become ready again, however late it is heard of.
+		return h.Sequence <= t.last.Sequence && !h.Draining
 	}
 	return h.Born < t.last.Born || h.Born < t.leaving.Born
 }
--- a/pkg/readiness/readiness_test.go
+++ b/pkg/readiness/readiness_test.go
@@ -51,6 +51,17 @@
 	require.Equal(t, readiness.Ready, tr.State())
 }
 
+// Guards against a drain that is missed because a heartbeat with a higher sequence number
+// came before it.
+func TestDrainCountsWhenLate(t *testing.T) {
+	tr := ready()
+	tr.Observe(start, heartbeat("s", 10, 100_000, false))
+	tr.Observe(start, heartbeat("s", 10, 2, true))
+	require.Equal(t, readiness.Draining, tr.State())
+	tr.Observe(start, heartbeat("s", 10, 100_001, false))
+	require.Equal(t, readiness.Draining, tr.State())
+}
+
 // Guards against a delayed heartbeat that ends a drain.
 func TestDrainIsFinal(t *testing.T) {
 	tr := ready()
